--- /dev/null
+++ b/core/entry/call_engine.cpp
@@ -0,0 +1,386 @@
+#include "core/entry/call_engine.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "core/base/rendezvous.h"
+
+namespace papayawheel {
+namespace {
+
+constexpr std::chrono::milliseconds kNotReadyRetry{200};
+constexpr std::chrono::milliseconds kTooManyKeysRetry{1000};
+
+/** Methods that may be repeated without harm. */
+constexpr std::array<std::string_view, 4> kIdempotentMethods = {
+    "GET", "HEAD", "OPTIONS", "TRACE"};
+
+bool IsIdempotent(std::string_view aMethod) {
+  return std::find(kIdempotentMethods.begin(), kIdempotentMethods.end(),
+                   aMethod) != kIdempotentMethods.end();
+}
+
+std::uint64_t FingerprintOf(const CallRequest& aRequest) {
+  return StableHash(fmt::format("{}\n{}\n{}\n{}\n{}", aRequest.mMethod,
+                                aRequest.mTarget, aRequest.mCustomer,
+                                aRequest.mService, aRequest.mBodyHash));
+}
+
+Duration RetryAfterOf(ErrorKind aError) {
+  if (aError == ErrorKind::HostNotReady) {
+    return kNotReadyRetry;
+  }
+  return aError == ErrorKind::TooManyKeys ? kTooManyKeysRetry
+                                          : Duration::zero();
+}
+
+}  // namespace
+
+CallEngine::CallEngine(HostIdentity aIdentity, TimePoint aNow,
+                       OutcomeTableLimits aLimits)
+    : mIdentity(std::move(aIdentity)),
+      mConfiguration(std::make_shared<Configuration>()),
+      mLedger(mIdentity.mName, aNow),
+      mOutcomes(mIdentity.mName, mIdentity.mIncarnation, aNow, aLimits),
+      mControlSeen(aNow),
+      mNow(aNow) {}
+
+void CallEngine::Apply(std::shared_ptr<const Configuration> aConfiguration,
+                       TimePoint aNow) {
+  mConfiguration = std::move(aConfiguration);
+  mLedger.Apply(mConfiguration, aNow);
+  for (const auto& [name, service] : mConfiguration->mServices) {
+    auto found = mServices.find(name);
+    if (found == mServices.end()) {
+      const auto seed =
+          static_cast<std::uint32_t>(mIdentity.mIncarnation ^ StableHash(name));
+      found =
+          mServices
+              .emplace(name,
+                       ServiceState{EndpointBook(mIdentity.mDataCentre, seed),
+                                    {},
+                                    {},
+                                    Duration::zero(),
+                                    aNow})
+              .first;
+    }
+    found->second.mBook.Configure(service, aNow);
+  }
+}
+
+bool CallEngine::IsReady(TimePoint aNow) const {
+  return mReady && aNow - mControlSeen < kMaxControlGap;
+}
+
+CallActions CallEngine::Arrive(CallId aId, const CallRequest& aRequest,
+                               TimePoint aNow) {
+  CallActions actions;
+  mNow = aNow;
+  ++mCounts.mArrived;
+  if (const auto error = CheckRequest(aRequest, aNow)) {
+    CountError(aRequest.mCustomer, *error);
+    actions.emplace_back(
+        AnswerAction{aId, nullptr, *error, RetryAfterOf(*error)});
+    return actions;
+  }
+  const Contract& contract = mConfiguration->mContracts.at(aRequest.mCustomer);
+  const Service& service = mConfiguration->mServices.at(aRequest.mService);
+  const Duration longest = service.mLongestDeadline;
+  Call call;
+  call.mRequest = aRequest;
+  call.mDeadline =
+      aNow + std::min(aRequest.mPatience.value_or(longest), longest);
+  call.mFingerprint = FingerprintOf(aRequest);
+  call.mPriority = contract.mPriority;
+  call.mIdempotent = IsIdempotent(aRequest.mMethod);
+  Call& stored = mCalls.emplace(aId, std::move(call)).first->second;
+  if (HandleKey(aId, stored, aNow, actions)) {
+    return actions;
+  }
+  const Duration quarantine = mCrashGuard.Remaining(stored.mFingerprint, aNow);
+  if (quarantine > Duration::zero()) {
+    Fail(aId, ErrorKind::Quarantined, quarantine, actions);
+    return actions;
+  }
+  Admit(aId, stored, aNow, actions);
+  return actions;
+}
+
+std::optional<ErrorKind> CallEngine::CheckRequest(const CallRequest& aRequest,
+                                                  TimePoint aNow) const {
+  if (!IsReady(aNow)) {
+    return ErrorKind::HostNotReady;
+  }
+  const auto contract = mConfiguration->mContracts.find(aRequest.mCustomer);
+  if (contract == mConfiguration->mContracts.end()) {
+    return ErrorKind::UnknownCustomer;
+  }
+  if (!mConfiguration->mServices.contains(aRequest.mService)) {
+    return ErrorKind::UnknownService;
+  }
+  const auto& services = contract->second.mServices;
+  if (std::find(services.begin(), services.end(), aRequest.mService) ==
+      services.end()) {
+    return ErrorKind::ServiceNotInContract;
+  }
+  if (aRequest.mPatience && *aRequest.mPatience <= Duration::zero()) {
+    return ErrorKind::DeadlinePassed;
+  }
+  if (aRequest.mKey.empty()) {
+    const bool needsKey =
+        !IsIdempotent(aRequest.mMethod) && aRequest.mHop != HopReason::Rights;
+    return needsKey ? std::optional(ErrorKind::KeyMissing) : std::nullopt;
+  }
+  if (!ParseRequestKey(aRequest.mKey)) {
+    return ErrorKind::KeyMalformed;
+  }
+  return std::nullopt;
+}
+
+bool CallEngine::HandleKey(CallId aId, Call& aCall, TimePoint aNow,
+                           CallActions& aActions) {
+  // The host that passed a call on for its rights keeps the record of its key.
+  if (aCall.mRequest.mKey.empty() || aCall.mRequest.mHop == HopReason::Rights) {
+    return false;
+  }
+  const RequestKey key = *ParseRequestKey(aCall.mRequest.mKey);
+  if (key.mHost != mIdentity.mName) {
+    PassToKeyOwner(aId, aCall, key, aNow, aActions);
+    return true;
+  }
+  const KeyDecision decision = mOutcomes.Begin(aCall.mRequest.mKey, key, aNow);
+  if (decision.mVerdict == KeyVerdict::Run) {
+    aCall.mOwnsKey = true;
+    return false;
+  }
+  AnswerKnownKey(aId, decision, aActions);
+  return true;
+}
+
+void CallEngine::AnswerKnownKey(CallId aId, const KeyDecision& aDecision,
+                                CallActions& aActions) {
+  if (aDecision.mVerdict == KeyVerdict::Refused) {
+    Fail(aId, aDecision.mError, RetryAfterOf(aDecision.mError), aActions);
+    return;
+  }
+  const KeyRecord& record = aDecision.mRecord;
+  if (record.mResponse != nullptr) {
+    Succeed(aId, record.mResponse, aActions);
+    return;
+  }
+  const bool spent =
+      !record.mRunning && AnswerOf(record.mError).mOutcome == Outcome::NotRun;
+  Fail(aId, spent ? ErrorKind::KeySpent : record.mError, Duration::zero(),
+       aActions);
+}
+
+void CallEngine::PassToKeyOwner(CallId aId, Call& aCall, const RequestKey& aKey,
+                                TimePoint aNow, CallActions& aActions) {
+  const auto owner = mConfiguration->mHosts.find(aKey.mHost);
+  if (aCall.mRequest.mHop != HopReason::None ||
+      owner == mConfiguration->mHosts.end() ||
+      mLedger.Evidence().IsDead(aKey.mHost, aNow)) {
+    Fail(aId, ErrorKind::KeyOwnerGone, Duration::zero(), aActions);
+    return;
+  }
+  ++mCounts.mPassedOn;
+  aCall.mState = CallState::AtHost;
+  aCall.mTarget = aKey.mHost;
+  aActions.emplace_back(SendToHostAction{
+      aId, aKey.mHost, owner->second.mAddress,
+      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow),
+      HopReason::KeyOwner});
+}
+
+CallActions CallEngine::HostReplied(CallId aId, const HostReply& aReply,
+                                    TimePoint aNow) {
+  CallActions actions;
+  mNow = aNow;
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return actions;
+  }
+  Call& call = found->second;
+  const bool toKeyOwner = !call.mOwnsKey && !call.mRequest.mKey.empty();
+  using Result = HostReply::Result;
+  if (aReply.mResult != Result::Answered && toKeyOwner) {
+    const bool gone = aReply.mResult == Result::Refused;
+    Fail(aId, gone ? ErrorKind::KeyOwnerGone : ErrorKind::KeyOwnerUnreachable,
+         Duration::zero(), actions);
+    return actions;
+  }
+  if (aReply.mResult == Result::TimedOut) {
+    Fail(aId, ErrorKind::TimedOut, Duration::zero(), actions);
+    return actions;
+  }
+  if (aReply.mResult == Result::Lost) {
+    call.mMayHaveRun = true;
+    if (!call.mIdempotent) {
+      Fail(aId, ErrorKind::EndpointLost, Duration::zero(), actions);
+      return actions;
+    }
+  }
+  if (aReply.mResult == Result::Answered && aReply.mResponse != nullptr) {
+    Succeed(aId, aReply.mResponse, actions);
+    return actions;
+  }
+  const bool exhausted = aReply.mError == ErrorKind::OverRate ||
+                         aReply.mError == ErrorKind::OverConcurrency ||
+                         aReply.mError == ErrorKind::HostNotReady;
+  if (aReply.mResult == Result::Answered && (toKeyOwner || !exhausted)) {
+    const ErrorKind fallback = aReply.mOutcome == Outcome::NotRun
+                                   ? ErrorKind::NeverSent
+                                   : ErrorKind::EndpointLost;
+    Fail(aId, aReply.mError.value_or(fallback), aReply.mRetryAfter, actions);
+    return actions;
+  }
+  const Duration pause =
+      std::max<Duration>(aReply.mRetryAfter, std::chrono::milliseconds(1));
+  mExhausted[{call.mRequest.mCustomer, call.mTarget}] = aNow + pause;
+  if (!PassToHome(aId, call, aNow, actions)) {
+    Fail(aId, aReply.mError.value_or(ErrorKind::OverRate), pause, actions);
+  }
+  return actions;
+}
+
+CallActions CallEngine::CallerLeft(CallId aId, TimePoint aNow) {
+  CallActions actions;
+  mNow = aNow;
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return actions;
+  }
+  Call& call = found->second;
+  const std::string service = call.mRequest.mService;
+  if (call.mState == CallState::Waiting) {
+    mServices.at(service).mQueue.Remove(aId);
+    Fail(aId, ErrorKind::NeverSent, Duration::zero(), actions);
+  } else if (call.mIdempotent && !call.mOwnsKey) {
+    if (call.mState == CallState::AtEndpoint) {
+      mServices.at(service).mBook.Finished(
+          call.mTarget, EndpointResult::Shed, std::nullopt,
+          std::chrono::duration_cast<Duration>(aNow - call.mSentAt), aNow);
+    }
+    actions.emplace_back(CancelAction{aId});
+    Fail(aId, ErrorKind::EndpointLost, Duration::zero(), actions);
+    Pump(service, aNow, actions);
+  }
+  // A call with a key runs on, so that its record can be asked for.
+  return actions;
+}
+
+CallActions CallEngine::Tick(TimePoint aNow) {
+  CallActions actions;
+  mNow = aNow;
+  mLedger.Tick(aNow);
+  mOutcomes.Tick(aNow);
+  for (const std::uint64_t fingerprint : mCrashGuard.Tick(aNow)) {
+    mQuarantineEvents.push_back(
+        fmt::format("ended for request {:016x}", fingerprint));
+  }
+  std::erase_if(mExhausted,
+                [&](const auto& aEntry) { return aEntry.second <= aNow; });
+  for (auto& [name, service] : mServices) {
+    for (const CallId id : service.mQueue.Expire(aNow)) {
+      const Call& call = mCalls.at(id);
+      Fail(id, ErrorKind::Overloaded, ExpectedWait(service, call.mPriority),
+           actions);
+    }
+    Pump(name, aNow, actions);
+  }
+  return actions;
+}
+
+KeyDecision CallEngine::FindOutcome(const std::string& aKeyText,
+                                    TimePoint aNow) const {
+  const auto key = ParseRequestKey(aKeyText);
+  if (!key) {
+    KeyDecision decision;
+    decision.mError = ErrorKind::KeyMalformed;
+    return decision;
+  }
+  return mOutcomes.Find(aKeyText, *key, aNow);
+}
+
+void CallEngine::NoteRemoteCrash(const CrashReport& aReport, TimePoint aNow) {
+  if (mCrashGuard.NoteCrash(aReport, aNow)) {
+    mQuarantineEvents.push_back(
+        fmt::format("started for request {:016x}, told by another host",
+                    aReport.mFingerprint));
+  }
+}
+
+std::vector<CrashReport> CallEngine::TakeCrashReports() {
+  return std::exchange(mCrashReports, {});
+}
+
+std::vector<std::string> CallEngine::TakeQuarantineEvents() {
+  return std::exchange(mQuarantineEvents, {});
+}
+
+const EndpointBook* CallEngine::BookOf(const std::string& aService) const {
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? nullptr : &found->second.mBook;
+}
+
+void CallEngine::Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
+                         CallActions& aActions) {
+  const auto found = mCalls.find(aId);
+  const Call& call = found->second;
+  if (call.mOwnsKey) {
+    mOutcomes.FinishAnswered(call.mRequest.mKey, aResponse);
+  }
+  if (call.mGrant) {
+    mLedger.Release(*call.mGrant);
+  }
+  mCalls.erase(found);
+  ++mCounts.mAnswered;
+  aActions.emplace_back(AnswerAction{aId, std::move(aResponse),
+                                     ErrorKind::BadRequest, Duration::zero()});
+}
+
+void CallEngine::Fail(CallId aId, ErrorKind aError, Duration aRetryAfter,
+                      CallActions& aActions) {
+  const auto found = mCalls.find(aId);
+  const Call& call = found->second;
+  const bool claimsNotRun = AnswerOf(aError).mOutcome == Outcome::NotRun;
+  const ErrorKind error =
+      call.mMayHaveRun && claimsNotRun ? ErrorKind::EndpointLost : aError;
+  if (call.mOwnsKey) {
+    mOutcomes.FinishFailed(call.mRequest.mKey, error);
+  }
+  if (call.mGrant) {
+    mLedger.Release(*call.mGrant);
+  }
+  CountError(call.mRequest.mCustomer, error);
+  mCalls.erase(found);
+  aActions.emplace_back(AnswerAction{aId, nullptr, error, aRetryAfter});
+}
+
+void CallEngine::CountError(const std::string& aCustomer, ErrorKind aError) {
+  ++mCounts.mErrors[aError];
+  switch (AnswerOf(aError).mOutcome) {
+    case Outcome::Answered:
+      ++mCounts.mAnswered;
+      break;
+    case Outcome::NotRun:
+      ++mCounts.mNotRun;
+      break;
+    case Outcome::Unknown:
+      ++mCounts.mUnknown;
+      break;
+  }
+  // Only customers with a contract are kept, so that callers cannot make the
+  // table grow.
+  if (mConfiguration->mContracts.contains(aCustomer)) {
+    LastRefusal& refusal = mRefusals[aCustomer];
+    refusal.mError = aError;
+    ++refusal.mCount;
+    refusal.mAt = mNow;
+  }
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/limits/share_ledger.h
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/base/clock.h"
+#include "core/base/error_kind.h"
+#include "core/config/configuration.h"
+#include "core/limits/refusal_evidence.h"
+#include "core/limits/share_split.h"
+#include "core/limits/token_bucket.h"
+
+namespace papayawheel {
+
+/** Time after which a host that the operators removed from the list is no
+ * longer waited for. Operators stop a process before they remove it. */
+constexpr std::chrono::seconds kRemovedHostWait{60};
+
+/** Proof that a call was admitted, to be handed back when the call ends. */
+struct Grant {
+  std::string mCustomer;
+  /** The host whose share admitted the call: this one, or a dead one whose
+   * share this host took over. */
+  std::string mShareOwner;
+};
+
+/** The answer to one request for admission. */
+struct Admission {
+  std::optional<Grant> mGrant;
+  /** Why there is no grant. */
+  ErrorKind mRefusal = ErrorKind::OverRate;
+  /** When to come back; Duration::max() when this host will never admit. */
+  Duration mRetryAfter{0};
+};
+
+/** Decides which calls this host may admit, so that all hosts together never
+ * admit more than a contract, without asking anybody.
+ *
+ * A contract is split over the published hosts. After a change of the split
+ * each host uses the smaller of its old and new shares until every other host
+ * has reported that it obeys the new revision. A share whose host is proved
+ * dead by refused connections is used by exactly one successor. */
+class ShareLedger {
+ public:
+  ShareLedger(std::string aHost, TimePoint aNow);
+
+  /** A new configuration is in force on this host. */
+  void Apply(std::shared_ptr<const Configuration> aConfiguration,
+             TimePoint aNow);
+
+  /** Another host answered and reported the revision that it obeys. Reports
+   * must arrive in the order in which they were asked for. */
+  void HostReported(const std::string& aHost, std::uint64_t aObeyedRevision,
+                    TimePoint aNow);
+
+  /** Another host refused a connection that was tried at the given time. */
+  void HostRefused(const std::string& aHost, TimePoint aTriedAt,
+                   TimePoint aNow);
+
+  /** Drops old revisions and takes over or hands back shares, as the time and
+   * the reports allow. */
+  void Tick(TimePoint aNow);
+
+  /** Admits one call of a customer or says why not. */
+  Admission Admit(const std::string& aCustomer, TimePoint aNow);
+
+  /** An admitted call has ended. */
+  void Release(const Grant& aGrant);
+
+  /** An admitted call ended without any endpoint having been tried, so its
+   * token is spared as well. */
+  void Cancel(const Grant& aGrant, TimePoint aNow);
+
+  /** The revision whose shares this host keeps to in every respect; reported
+   * to the other hosts. */
+  [[nodiscard]] std::uint64_t ObeyedRevision() const;
+
+  /** Whether every host is known to obey the revision in force here. */
+  [[nodiscard]] bool IsSettled() const { return mEpochs.size() == 1; }
+
+  /** The split of a customer's contract in force; nothing without contract. */
+  [[nodiscard]] const ShareSplit* SplitOf(const std::string& aCustomer) const;
+
+  /** What this host may use of a contract by itself now, without what it took
+   * over. */
+  [[nodiscard]] Share EffectiveShare(const std::string& aCustomer) const;
+
+  [[nodiscard]] const RefusalEvidence& Evidence() const { return mEvidence; }
+
+ private:
+  /** One revision that some host may still be obeying. */
+  struct Epoch {
+    std::shared_ptr<const Configuration> mConfiguration;
+    std::map<std::string, ShareSplit> mSplits;
+    TimePoint mAppliedAt;
+  };
+
+  /** The use that this host makes of one share. */
+  struct Account {
+    explicit Account(TimePoint aNow) : mBucket(aNow) {}
+
+    TokenBucket mBucket;
+    Share mLimit;
+    std::uint32_t mInFlight = 0;
+    /** No call is admitted before this time. */
+    TimePoint mOpensAt;
+  };
+
+  using AccountKey = std::pair<std::string, std::string>;
+
+  [[nodiscard]] Share ShareInForce(const std::string& aCustomer,
+                                   const std::string& aOwner) const;
+  void RefreshOwnAccounts(TimePoint aNow);
+  void SetAccount(const std::string& aCustomer, const std::string& aOwner,
+                  const Share& aLimit, TimePoint aOpensAt, TimePoint aNow);
+  bool HasSettled(TimePoint aNow) const;
+  bool IsWaitedFor(const std::string& aHost, TimePoint aNow) const;
+  void RefreshTakeovers(TimePoint aNow);
+  void TakeOver(const std::string& aDeadHost, TimePoint aNow);
+  void EndTakeovers(TimePoint aNow);
+  [[nodiscard]] std::optional<TimePoint> SuccessionSince(
+      const std::string& aDeadHost, TimePoint aNow) const;
+  Admission AdmitFrom(Account& aAccount, const Grant& aGrant, TimePoint aNow);
+  [[nodiscard]] const Epoch& Current() const { return mEpochs.back(); }
+
+  std::string mHost;
+  TimePoint mStartedAt;
+  std::vector<Epoch> mEpochs;
+  std::map<std::string, std::uint64_t> mObeyed;
+  RefusalEvidence mEvidence;
+  /** Keyed by customer and owner of the share. */
+  std::map<AccountKey, Account> mAccounts;
+  /** Dead hosts whose shares this host uses. */
+  std::map<std::string, TimePoint> mTakeovers;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/limits/share_split.cpp
@@ -0,0 +1,92 @@
+#include "core/limits/share_split.h"
+
+#include <algorithm>
+#include <set>
+
+#include "core/base/rendezvous.h"
+
+namespace papayawheel {
+namespace {
+
+/** A contract sits on this many hosts if it has as many whole units. */
+constexpr std::uint32_t kLeastHomes = 3;
+
+/** Whole units per host from which a contract is spread over more hosts. */
+constexpr std::uint32_t kUnitsPerHome = 4;
+
+std::size_t CountHomes(const Contract& aContract, std::size_t aHosts) {
+  const std::uint32_t units =
+      std::min(aContract.mBurst, aContract.mConcurrency);
+  const std::uint32_t wanted =
+      std::max(std::min(kLeastHomes, units), units / kUnitsPerHome);
+  return std::min<std::size_t>(wanted, aHosts);
+}
+
+std::vector<std::string> RankLiveHosts(
+    const std::string& aCustomer, const std::map<std::string, Host>& aHosts) {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : aHosts) {
+    if (host.mState == NodeState::Live) {
+      names.push_back(name);
+    }
+  }
+  return RankByRendezvous(aCustomer, names);
+}
+
+/** Takes the best host of every data centre, then the second best, and so on.
+ */
+std::vector<std::string> PickAcrossDataCentres(
+    std::vector<std::string> aRanked, const std::map<std::string, Host>& aHosts,
+    std::size_t aCount) {
+  std::vector<std::string> picked;
+  while (picked.size() < aCount) {
+    std::set<std::string> used;
+    std::vector<std::string> rest;
+    for (std::string& name : aRanked) {
+      const bool first = used.insert(aHosts.at(name).mDataCentre).second;
+      if (first && picked.size() < aCount) {
+        picked.push_back(std::move(name));
+      } else {
+        rest.push_back(std::move(name));
+      }
+    }
+    aRanked = std::move(rest);
+  }
+  return picked;
+}
+
+std::uint32_t DealUnits(std::uint32_t aUnits, std::size_t aHomes,
+                        std::size_t aIndex) {
+  const auto homes = static_cast<std::uint32_t>(aHomes);
+  return aUnits / homes + (aIndex < aUnits % homes ? 1 : 0);
+}
+
+}  // namespace
+
+Share Lesser(const Share& aLeft, const Share& aRight) {
+  return Share{std::min(aLeft.mRatePerSecond, aRight.mRatePerSecond),
+               std::min(aLeft.mBurst, aRight.mBurst),
+               std::min(aLeft.mConcurrency, aRight.mConcurrency)};
+}
+
+Share ShareSplit::ShareOf(const std::string& aHost) const {
+  const auto found = mShares.find(aHost);
+  return found == mShares.end() ? Share{} : found->second;
+}
+
+ShareSplit SplitContract(const Contract& aContract,
+                         const std::map<std::string, Host>& aHosts) {
+  std::vector<std::string> ranked = RankLiveHosts(aContract.mCustomer, aHosts);
+  const std::size_t count = CountHomes(aContract, ranked.size());
+  ShareSplit split;
+  split.mHomes = PickAcrossDataCentres(std::move(ranked), aHosts, count);
+  for (std::size_t index = 0; index < count; ++index) {
+    split.mShares[split.mHomes[index]] =
+        Share{aContract.mRatePerSecond / static_cast<double>(count),
+              DealUnits(aContract.mBurst, count, index),
+              DealUnits(aContract.mConcurrency, count, index)};
+  }
+  return split;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/membership/control_engine.cpp
@@ -0,0 +1,323 @@
+#include "core/membership/control_engine.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/base/rendezvous.h"
+
+namespace papayawheel {
+namespace {
+
+/** Hosts of one data centre that watch the platform. */
+constexpr std::size_t kWatchers = 2;
+
+/** Hosts to which one host pushes a new configuration. */
+constexpr std::size_t kPushFanOut = 2;
+
+constexpr std::chrono::seconds kWatchWait{30};
+constexpr std::chrono::seconds kReadRetry{1};
+
+/** Shortest time between two heartbeats with the same host. */
+constexpr std::chrono::seconds kLeastPeriod{1};
+
+/** The period grows by this much with every host, so that the cost of
+ * heartbeats does not grow with the fleet. */
+constexpr std::chrono::milliseconds kPeriodPerHost{100};
+
+/** A refused host is asked again this often, to keep the proof fresh. */
+constexpr std::chrono::seconds kRefusedPeriod{1};
+
+/** Time after which a host stops waiting for answers of other hosts before it
+ * vouches for its configuration. */
+constexpr std::chrono::milliseconds kJoinWait{1500};
+
+}  // namespace
+
+ControlEngine::ControlEngine(ControlSettings aSettings, const Clock& aClock,
+                             AuditTrail& aAudit)
+    : mSettings(std::move(aSettings)),
+      mStore(aClock, aAudit),
+      mBudget(mSettings.mBytesPerSecond, aClock.Now()),
+      mAudit(aAudit),
+      mRandom(mSettings.mSeed),
+      mDistrustedAt(aClock.Now()),
+      mNextRead(aClock.Now()) {}
+
+ControlActions ControlEngine::Tick(TimePoint aNow) {
+  ControlActions actions;
+  mMembership.SetPeriod(HeartbeatPeriod());
+  AskPeersFromSettings(actions);
+  StartReading(aNow, actions);
+  SendHeartbeats(aNow, actions);
+  AuditBeliefs(aNow);
+  return actions;
+}
+
+void ControlEngine::StartReading(TimePoint aNow, ControlActions& aActions) {
+  if (mReading || aNow < mNextRead) {
+    return;
+  }
+  const bool watcher = IsWatcher(aNow);
+  if (!watcher && mReadSinceDistrust) {
+    return;
+  }
+  mReading = true;
+  const std::uint64_t newerThan =
+      std::max(mStore.Revision(), mStore.RefusedRevision());
+  const bool mayWait = watcher && mReadSinceDistrust;
+  aActions.emplace_back(
+      ReadPlatformAction{mStore.Revision(), mayWait ? newerThan : 0,
+                         mayWait ? std::chrono::milliseconds(kWatchWait)
+                                 : std::chrono::milliseconds(0)});
+}
+
+void ControlEngine::AskPeersFromSettings(ControlActions& aActions) {
+  if (mAskedSettings) {
+    return;
+  }
+  mAskedSettings = true;
+  for (const std::string& address : mSettings.mPeers) {
+    if (address != mSettings.mAddress) {
+      aActions.emplace_back(SendHeartbeatAction{"", address});
+    }
+  }
+}
+
+void ControlEngine::SendHeartbeats(TimePoint aNow, ControlActions& aActions) {
+  for (auto& [name, peer] : mPeers) {
+    if (peer.mBusy || aNow < peer.mNextHeartbeat) {
+      continue;
+    }
+    if (!mBudget.MaySend(aNow)) {
+      return;
+    }
+    peer.mBusy = true;
+    aActions.emplace_back(
+        SendHeartbeatAction{name, mStore.InForce()->mHosts.at(name).mAddress});
+  }
+}
+
+ControlActions ControlEngine::PlatformAnswered(const std::string& aText,
+                                               TimePoint aNow) {
+  mReading = false;
+  mReadSinceDistrust = true;
+  mHeardSinceDistrust = true;
+  mNextRead = aNow;
+  return Take(aText, "platform", aNow);
+}
+
+void ControlEngine::PlatformFailed(TimePoint aNow) {
+  mReading = false;
+  mNextRead = aNow + kReadRetry + Jitter(kReadRetry);
+}
+
+ControlActions ControlEngine::HeartbeatAnswered(
+    const SendHeartbeatAction& aSent, const Heartbeat& aAnswer,
+    TimePoint aSentAt, TimePoint aNow) {
+  const auto found = mPeers.find(aSent.mHost);
+  if (found != mPeers.end()) {
+    Peer& peer = found->second;
+    peer.mBusy = false;
+    peer.mRefused = false;
+    peer.mLastResult = aNow;
+    peer.mNextHeartbeat = aNow + HeartbeatPeriod();
+  }
+  if (aSentAt >= mDistrustedAt && aAnswer.mRevision > 0) {
+    mHeardSinceDistrust = true;
+  }
+  mMembership.Heard(aAnswer, aNow);
+  ControlActions actions;
+  if (aAnswer.mRevision > mStore.Revision() && !mPulling) {
+    mPulling = true;
+    actions.emplace_back(PullAction{aSent.mAddress, mStore.Revision()});
+  }
+  return actions;
+}
+
+void ControlEngine::HeartbeatFailed(const SendHeartbeatAction& aSent,
+                                    HeartbeatFailure aFailure, TimePoint aNow) {
+  const auto found = mPeers.find(aSent.mHost);
+  if (found == mPeers.end()) {
+    return;
+  }
+  Peer& peer = found->second;
+  peer.mBusy = false;
+  peer.mLastResult = aNow;
+  peer.mRefused = aFailure == HeartbeatFailure::Refused;
+  peer.mNextHeartbeat =
+      aNow + (peer.mRefused ? Duration(kRefusedPeriod) : HeartbeatPeriod());
+  mMembership.Missed(aSent.mHost);
+}
+
+ControlActions ControlEngine::HeartbeatArrived(const Heartbeat& aHeartbeat,
+                                               TimePoint aNow) {
+  mMembership.Heard(aHeartbeat, aNow);
+  ControlActions actions;
+  Pull(aHeartbeat.mHost, aHeartbeat.mRevision, actions);
+  return actions;
+}
+
+void ControlEngine::Pull(const std::string& aHost, std::uint64_t aRevision,
+                         ControlActions& aActions) {
+  const auto& hosts = mStore.InForce()->mHosts;
+  const auto found = hosts.find(aHost);
+  if (mPulling || aRevision <= mStore.Revision() || found == hosts.end()) {
+    return;
+  }
+  mPulling = true;
+  aActions.emplace_back(PullAction{found->second.mAddress, mStore.Revision()});
+}
+
+ControlActions ControlEngine::ConfigurationArrived(const std::string& aText,
+                                                   const std::string& aSource,
+                                                   TimePoint aNow) {
+  mPulling = false;
+  return Take(aText, aSource, aNow);
+}
+
+ControlActions ControlEngine::Take(const std::string& aText,
+                                   const std::string& aSource, TimePoint aNow) {
+  ControlActions actions;
+  const std::optional<Snapshot> snapshot =
+      ApplyChanges(mStore.SnapshotInForce(), aText);
+  if (!snapshot || mStore.Offer(*snapshot, aSource) != OfferResult::Taken) {
+    return actions;
+  }
+  RefreshPeers(aNow);
+  SpreadFurther(aNow, actions);
+  return actions;
+}
+
+void ControlEngine::RefreshPeers(TimePoint aNow) {
+  const auto& hosts = mStore.InForce()->mHosts;
+  std::erase_if(mPeers, [&](const auto& aEntry) {
+    return !hosts.contains(aEntry.first);
+  });
+  for (const auto& [name, host] : hosts) {
+    if (name == mSettings.mName) {
+      continue;
+    }
+    const auto [peer, added] = mPeers.try_emplace(name);
+    // The first exchange confirms what a new host must know; the others are
+    // only moved up so that old shares are given up soon.
+    const auto soon = aNow + (added ? Duration::zero()
+                                    : Jitter(std::chrono::milliseconds(200)));
+    peer->second.mNextHeartbeat =
+        added ? soon : std::min(peer->second.mNextHeartbeat, TimePoint(soon));
+  }
+}
+
+void ControlEngine::SpreadFurther(TimePoint aNow, ControlActions& aActions) {
+  const std::vector<std::string> ranked =
+      RankByRendezvous(mSettings.mDataCentre, HostsOf(mSettings.mDataCentre));
+  const auto self = std::find(ranked.begin(), ranked.end(), mSettings.mName);
+  if (self != ranked.end()) {
+    PushBelow(ranked, static_cast<std::size_t>(self - ranked.begin()), aNow,
+              aActions);
+  }
+}
+
+void ControlEngine::PushBelow(const std::vector<std::string>& aRanked,
+                              std::size_t aRank, TimePoint aNow,
+                              ControlActions& aActions) {
+  for (std::size_t child = 0; child < kPushFanOut; ++child) {
+    const std::size_t rank = kPushFanOut * aRank + kWatchers + child;
+    if (rank >= aRanked.size()) {
+      return;
+    }
+    const std::string& name = aRanked[rank];
+    if (mMembership.BeliefOf(name, aNow) == HostBelief::Silent) {
+      // Reaches past a host that cannot pass the configuration on.
+      PushBelow(aRanked, rank, aNow, aActions);
+      continue;
+    }
+    const MembershipView::LastHeard* const last = mMembership.LastOf(name);
+    const std::uint64_t base = last == nullptr ? 0 : last->mHeartbeat.mRevision;
+    if (base < mStore.Revision()) {
+      aActions.emplace_back(
+          PushAction{mStore.InForce()->mHosts.at(name).mAddress, base});
+    }
+  }
+}
+
+void ControlEngine::DistrustView(TimePoint aNow) {
+  mDistrustedAt = aNow;
+  mHeardSinceDistrust = false;
+  mReadSinceDistrust = false;
+  mNextRead = aNow;
+  mMembership.Clear();
+  for (auto& [name, peer] : mPeers) {
+    peer.mNextHeartbeat = aNow;
+  }
+}
+
+bool ControlEngine::IsCurrent(TimePoint aNow) const {
+  if (mStore.Revision() == 0 || !mHeardSinceDistrust || mPulling) {
+    return false;
+  }
+  if (aNow - mDistrustedAt >= kJoinWait) {
+    return true;
+  }
+  return std::all_of(mPeers.begin(), mPeers.end(), [&](const auto& aEntry) {
+    return aEntry.second.mLastResult &&
+           *aEntry.second.mLastResult >= mDistrustedAt;
+  });
+}
+
+void ControlEngine::NoteBytes(std::size_t aBytes, TimePoint aNow) {
+  mBudget.Spend(aBytes, aNow);
+}
+
+bool ControlEngine::IsWatcher(TimePoint aNow) const {
+  std::vector<std::string> candidates = HostsOf(mSettings.mDataCentre);
+  std::erase_if(candidates, [&](const std::string& aName) {
+    return aName != mSettings.mName &&
+           mMembership.BeliefOf(aName, aNow) == HostBelief::Silent;
+  });
+  const std::vector<std::string> ranked =
+      RankByRendezvous(mSettings.mDataCentre, candidates);
+  const auto self = std::find(ranked.begin(), ranked.end(), mSettings.mName);
+  // A host that is not listed can learn of its listing only by itself.
+  return self == ranked.end() ||
+         self - ranked.begin() < static_cast<std::ptrdiff_t>(kWatchers);
+}
+
+Duration ControlEngine::HeartbeatPeriod() const {
+  return std::max<Duration>(
+      kLeastPeriod, kPeriodPerHost * static_cast<std::int64_t>(mPeers.size()));
+}
+
+void ControlEngine::AuditBeliefs(TimePoint aNow) {
+  for (const auto& [name, peer] : mPeers) {
+    const HostBelief belief = mMembership.BeliefOf(name, aNow);
+    const auto [last, added] = mLastBeliefs.try_emplace(name, belief);
+    if (added || last->second == belief) {
+      continue;
+    }
+    mAudit.Record(AuditTopic::Membership, mStore.Revision(),
+                  fmt::format("host \"{}\"", name),
+                  fmt::format("{} was {}", HostBeliefName(belief),
+                              HostBeliefName(last->second)));
+    last->second = belief;
+  }
+}
+
+std::vector<std::string> ControlEngine::HostsOf(
+    const std::string& aDataCentre) const {
+  std::vector<std::string> names;
+  for (const auto& [name, host] : mStore.InForce()->mHosts) {
+    if (host.mDataCentre == aDataCentre) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+Duration ControlEngine::Jitter(Duration aMost) {
+  return Duration(
+      std::uniform_int_distribution<std::int64_t>(0, aMost.count())(mRandom));
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/membership/heartbeat.cpp
@@ -0,0 +1,43 @@
+#include "core/membership/heartbeat.h"
+
+#include <nlohmann/json.hpp>
+
+namespace papayawheel {
+
+using Json = nlohmann::json;
+
+std::string WriteHeartbeat(const Heartbeat& aHeartbeat) {
+  return Json{{"host", aHeartbeat.mHost},
+              {"incarnation", aHeartbeat.mIncarnation},
+              {"uptime_ms", aHeartbeat.mUptime.count()},
+              {"revision", aHeartbeat.mRevision},
+              {"obeyed", aHeartbeat.mObeyedRevision},
+              {"ready", aHeartbeat.mReady},
+              {"leaving", aHeartbeat.mLeaving},
+              {"in_flight", aHeartbeat.mInFlight}}
+      .dump();
+}
+
+std::optional<Heartbeat> ReadHeartbeat(const std::string& aText) {
+  const Json value = Json::parse(aText, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    Heartbeat heartbeat;
+    heartbeat.mHost = value.at("host").get<std::string>();
+    heartbeat.mIncarnation = value.at("incarnation").get<std::uint64_t>();
+    heartbeat.mUptime =
+        std::chrono::milliseconds(value.at("uptime_ms").get<std::int64_t>());
+    heartbeat.mRevision = value.at("revision").get<std::uint64_t>();
+    heartbeat.mObeyedRevision = value.at("obeyed").get<std::uint64_t>();
+    heartbeat.mReady = value.at("ready").get<bool>();
+    heartbeat.mLeaving = value.at("leaving").get<bool>();
+    heartbeat.mInFlight = value.at("in_flight").get<std::uint32_t>();
+    return heartbeat;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/membership/heartbeat.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace papayawheel {
+
+/** What a host says of itself. It is sent as a request and answered with the
+ * same, so one exchange informs both sides. */
+struct Heartbeat {
+  std::string mHost;
+  std::uint64_t mIncarnation = 0;
+  /** Time since the process started. */
+  std::chrono::milliseconds mUptime{0};
+  /** Revision of the configuration in force. */
+  std::uint64_t mRevision = 0;
+  /** Revision whose shares the host keeps to. */
+  std::uint64_t mObeyedRevision = 0;
+  /** Whether the host serves calls. */
+  bool mReady = false;
+  /** Whether the host is about to stop. */
+  bool mLeaving = false;
+  /** Calls in flight. */
+  std::uint32_t mInFlight = 0;
+
+  bool operator==(const Heartbeat&) const = default;
+};
+
+std::string WriteHeartbeat(const Heartbeat& aHeartbeat);
+
+/** Nothing when the text is malformed. */
+std::optional<Heartbeat> ReadHeartbeat(const std::string& aText);
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/membership/membership_view.cpp
@@ -0,0 +1,60 @@
+#include "core/membership/membership_view.h"
+
+namespace papayawheel {
+namespace {
+
+/** Failed heartbeats in a row after which a host counts as silent. */
+constexpr std::uint32_t kMissesToSilence = 2;
+
+/** Periods without a heartbeat after which a host counts as silent. */
+constexpr int kPeriodsToSilence = 3;
+
+}  // namespace
+
+std::string_view HostBeliefName(HostBelief aBelief) {
+  switch (aBelief) {
+    case HostBelief::Unheard:
+      return "unheard";
+    case HostBelief::Serving:
+      return "serving";
+    case HostBelief::NotServing:
+      return "not_serving";
+    case HostBelief::Silent:
+      return "silent";
+  }
+  return "unheard";
+}
+
+void MembershipView::Heard(const Heartbeat& aHeartbeat, TimePoint aNow) {
+  mHosts[aHeartbeat.mHost] = LastHeard{aHeartbeat, aNow, 0};
+}
+
+void MembershipView::Missed(const std::string& aHost) {
+  const auto found = mHosts.find(aHost);
+  if (found != mHosts.end()) {
+    ++found->second.mMisses;
+  }
+}
+
+HostBelief MembershipView::BeliefOf(const std::string& aHost,
+                                    TimePoint aNow) const {
+  const auto found = mHosts.find(aHost);
+  if (found == mHosts.end()) {
+    return HostBelief::Unheard;
+  }
+  const LastHeard& last = found->second;
+  if (last.mMisses >= kMissesToSilence ||
+      aNow - last.mAt > mPeriod * kPeriodsToSilence) {
+    return HostBelief::Silent;
+  }
+  const bool serving = last.mHeartbeat.mReady && !last.mHeartbeat.mLeaving;
+  return serving ? HostBelief::Serving : HostBelief::NotServing;
+}
+
+const MembershipView::LastHeard* MembershipView::LastOf(
+    const std::string& aHost) const {
+  const auto found = mHosts.find(aHost);
+  return found == mHosts.end() ? nullptr : &found->second;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/membership/membership_view.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/base/clock.h"
+#include "core/membership/heartbeat.h"
+
+namespace papayawheel {
+
+/** What this host believes of another. The published list says which hosts
+ * exist; heartbeats say which of them answer. */
+enum class HostBelief {
+  /** Nothing has been heard or proved yet. */
+  Unheard,
+  /** It answered lately and serves calls. */
+  Serving,
+  /** It answered lately but serves no calls or is about to stop. */
+  NotServing,
+  /** It did not answer for several heartbeats. */
+  Silent,
+};
+
+std::string_view HostBeliefName(HostBelief aBelief);
+
+/** Keeps what other hosts said of themselves and when. */
+class MembershipView {
+ public:
+  /** Another host answered or sent a heartbeat. */
+  void Heard(const Heartbeat& aHeartbeat, TimePoint aNow);
+
+  /** A heartbeat to another host failed. */
+  void Missed(const std::string& aHost);
+
+  [[nodiscard]] HostBelief BeliefOf(const std::string& aHost,
+                                    TimePoint aNow) const;
+
+  /** The last heartbeat of a host and when it came. */
+  struct LastHeard {
+    Heartbeat mHeartbeat;
+    TimePoint mAt;
+    std::uint32_t mMisses = 0;
+  };
+  [[nodiscard]] const LastHeard* LastOf(const std::string& aHost) const;
+
+  /** Forgets everything, after a pause that made it worthless. */
+  void Clear() { mHosts.clear(); }
+
+  /** Sets the time between two heartbeats with one host. */
+  void SetPeriod(Duration aPeriod) { mPeriod = aPeriod; }
+
+ private:
+  std::map<std::string, LastHeard> mHosts;
+  Duration mPeriod = std::chrono::seconds(1);
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/outcome/outcome_table.cpp
@@ -0,0 +1,109 @@
+#include "core/outcome/outcome_table.h"
+
+#include <utility>
+
+namespace papayawheel {
+
+OutcomeTable::OutcomeTable(std::string aHost, std::uint64_t aIncarnation,
+                           TimePoint aStartedAt, OutcomeTableLimits aLimits)
+    : mHost(std::move(aHost)),
+      mIncarnation(aIncarnation),
+      mStartedAt(aStartedAt),
+      mLimits(aLimits) {}
+
+KeyDecision OutcomeTable::Begin(const std::string& aKeyText,
+                                const RequestKey& aKey, TimePoint aNow) {
+  KeyDecision decision = Find(aKeyText, aKey, aNow);
+  if (decision.mVerdict != KeyVerdict::Run) {
+    return decision;
+  }
+  if (mRecords.size() >= mLimits.mMaxKeys) {
+    decision.mVerdict = KeyVerdict::Refused;
+    decision.mError = ErrorKind::TooManyKeys;
+    return decision;
+  }
+  mRecords.emplace(aKeyText, KeyRecord{});
+  // The latest time of a first use plus the record time. It does not depend on
+  // the key, so the queue stays in order.
+  mExpiries.push_back(Expiry{aNow + kKeyUseTime + kKeyRecordTime, aKeyText});
+  return decision;
+}
+
+KeyDecision OutcomeTable::Find(const std::string& aKeyText,
+                               const RequestKey& aKey, TimePoint aNow) const {
+  KeyDecision decision;
+  if (!Owns(aKey)) {
+    decision.mError = ErrorKind::KeyOwnerGone;
+    return decision;
+  }
+  const auto found = mRecords.find(aKeyText);
+  if (found != mRecords.end()) {
+    decision.mVerdict = KeyVerdict::Known;
+    decision.mRecord = found->second;
+    return decision;
+  }
+  if (!MayStillBeUsed(aKey, aNow)) {
+    decision.mError = ErrorKind::KeyExpired;
+    return decision;
+  }
+  decision.mVerdict = KeyVerdict::Run;
+  return decision;
+}
+
+void OutcomeTable::FinishAnswered(const std::string& aKeyText,
+                                  std::shared_ptr<const Response> aResponse) {
+  const auto found = mRecords.find(aKeyText);
+  if (found == mRecords.end()) {
+    return;
+  }
+  const std::size_t size = aResponse->mBody.size();
+  if (mBytes + size > mLimits.mMaxBytes) {
+    found->second.mError = ErrorKind::AnswerNotKept;
+  } else {
+    mBytes += size;
+    found->second.mResponse = std::move(aResponse);
+  }
+  found->second.mRunning = false;
+}
+
+void OutcomeTable::FinishFailed(const std::string& aKeyText, ErrorKind aError) {
+  const auto found = mRecords.find(aKeyText);
+  if (found == mRecords.end()) {
+    return;
+  }
+  found->second.mRunning = false;
+  found->second.mError = aError;
+}
+
+void OutcomeTable::Tick(TimePoint aNow) {
+  while (!mExpiries.empty() && mExpiries.front().mAt <= aNow) {
+    const auto found = mRecords.find(mExpiries.front().mKeyText);
+    if (found != mRecords.end()) {
+      if (found->second.mResponse != nullptr) {
+        mBytes -= found->second.mResponse->mBody.size();
+      }
+      mRecords.erase(found);
+    }
+    mExpiries.pop_front();
+  }
+}
+
+std::string OutcomeTable::KeyPrefix(TimePoint aNow) const {
+  return WriteKeyPrefix(
+      mHost, mIncarnation,
+      std::chrono::duration_cast<std::chrono::seconds>(aNow - mStartedAt));
+}
+
+bool OutcomeTable::Owns(const RequestKey& aKey) const {
+  return aKey.mHost == mHost && aKey.mIncarnation == mIncarnation;
+}
+
+bool OutcomeTable::MayStillBeUsed(const RequestKey& aKey,
+                                  TimePoint aNow) const {
+  // A prefix handed out by another host may be dated a little ahead; a date
+  // far ahead would outlive the record of an earlier use.
+  const TimePoint mintedAt = mStartedAt + aKey.mMintedAt;
+  return aNow < mintedAt + kKeyUseTime && mintedAt <= aNow + kKeyUseTime;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/outcome/request_key.cpp
@@ -0,0 +1,67 @@
+#include "core/outcome/request_key.h"
+
+#include <fmt/format.h>
+
+#include <charconv>
+#include <string_view>
+
+namespace papayawheel {
+namespace {
+
+constexpr std::size_t kMaxKeyLength = 256;
+
+/** Keeps the sum of a start time and this far from overflow. */
+constexpr std::uint64_t kMaxMintedSeconds = 1'000'000'000;
+
+/** Cuts the text before the next dot off the front. */
+std::optional<std::string_view> TakeField(std::string_view& aRest) {
+  const std::size_t dot = aRest.find('.');
+  if (dot == std::string_view::npos || dot == 0) {
+    return std::nullopt;
+  }
+  const std::string_view field = aRest.substr(0, dot);
+  aRest.remove_prefix(dot + 1);
+  return field;
+}
+
+std::optional<std::uint64_t> ParseNumber(std::string_view aText, int aBase) {
+  std::uint64_t number = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto [rest, fault] = std::from_chars(aText.data(), end, number, aBase);
+  if (fault != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+std::string WriteKeyPrefix(const std::string& aHost, std::uint64_t aIncarnation,
+                           std::chrono::seconds aMintedAt) {
+  return fmt::format("{}.{:x}.{}.", aHost, aIncarnation, aMintedAt.count());
+}
+
+std::optional<RequestKey> ParseRequestKey(const std::string& aText) {
+  if (aText.size() > kMaxKeyLength) {
+    return std::nullopt;
+  }
+  std::string_view rest = aText;
+  const auto host = TakeField(rest);
+  const auto incarnation = TakeField(rest);
+  const auto mintedAt = TakeField(rest);
+  if (!host || !incarnation || !mintedAt || rest.empty()) {
+    return std::nullopt;
+  }
+  const auto incarnationNumber = ParseNumber(*incarnation, 16);
+  const auto mintedSeconds = ParseNumber(*mintedAt, 10);
+  if (!incarnationNumber || !mintedSeconds ||
+      *mintedSeconds > kMaxMintedSeconds) {
+    return std::nullopt;
+  }
+  return RequestKey{
+      std::string(*host), *incarnationNumber,
+      std::chrono::seconds(static_cast<std::int64_t>(*mintedSeconds)),
+      std::string(rest)};
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/routing/endpoint_book.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/base/clock.h"
+#include "core/config/configuration.h"
+#include "core/routing/endpoint_result.h"
+#include "core/routing/load_report.h"
+
+namespace papayawheel {
+
+/** What one host knows of one endpoint. */
+struct EndpointState {
+  Endpoint mEndpoint;
+  std::uint32_t mOwnInFlight = 0;
+  /** Calls of other hosts, from the last report. */
+  double mOthers = 0;
+  TimePoint mReportedAt;
+  /** Running estimate of the median time from send to answer. */
+  Duration mMedian{0};
+  std::uint32_t mFailuresInRow = 0;
+  /** No call is sent before this time. */
+  TimePoint mUsableFrom;
+  /** The endpoint itself said that it is draining. */
+  bool mDraining = false;
+};
+
+/** Chooses the endpoint for each call of one service on one host.
+ *
+ * The load of an endpoint is the host's own calls in flight, which it knows
+ * exactly, plus what the last report said of the other hosts' calls, which
+ * counts less the older it is. */
+class EndpointBook {
+ public:
+  EndpointBook(std::string aDataCentre, std::uint32_t aSeed);
+
+  /** Takes over the published endpoints; what is known of those that stay is
+   * kept. */
+  void Configure(const Service& aService, TimePoint aNow);
+
+  /** The best endpoint with a slot believed free, or nothing. */
+  [[nodiscard]] std::optional<std::string> Pick(
+      const std::vector<std::string>& aExcluded, TimePoint aNow);
+
+  /** Whether any endpoint takes calls at all. */
+  [[nodiscard]] bool HasUsable(TimePoint aNow) const;
+
+  /** A call was sent to the endpoint. */
+  void Sent(const std::string& aName);
+
+  /** A call that was sent has ended. */
+  void Finished(const std::string& aName, EndpointResult aResult,
+                const std::optional<LoadReport>& aReport, Duration aElapsed,
+                TimePoint aNow);
+
+  /** The estimated calls on an endpoint, own and others'. */
+  [[nodiscard]] double EstimateLoad(const EndpointState& aState,
+                                    TimePoint aNow) const;
+
+  [[nodiscard]] const std::map<std::string, EndpointState>& Endpoints() const {
+    return mEndpoints;
+  }
+
+  /** Calls that the endpoints' free slots could take, as believed. */
+  [[nodiscard]] std::uint32_t Slots() const { return mSlots; }
+
+  /** The typical time of a call over all endpoints, from send to answer. */
+  [[nodiscard]] Duration TypicalTime() const;
+
+ private:
+  [[nodiscard]] bool IsUsable(const EndpointState& aState,
+                              TimePoint aNow) const;
+  [[nodiscard]] double ScoreOf(const EndpointState& aState, Duration aTypical,
+                               TimePoint aNow) const;
+  void NoteFailure(EndpointState& aState, TimePoint aNow) const;
+  static void NoteMedian(EndpointState& aState, Duration aElapsed);
+
+  std::string mDataCentre;
+  /** Only breaks ties. */
+  std::minstd_rand mRandom;
+  std::uint32_t mSlots = 1;
+  std::map<std::string, EndpointState> mEndpoints;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/http_client.cpp
@@ -0,0 +1,393 @@
+#include "drivers/http_client.h"
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <cctype>
+#include <cerrno>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace papayawheel {
+namespace {
+
+constexpr long kMaxIdleConnections = 4096;
+
+/** Idle connections older than this are not used again, because the other
+ * side may be about to close them. */
+constexpr long kMaxIdleSeconds = 20;
+constexpr std::chrono::milliseconds kConnectTimeout{500};
+constexpr std::size_t kMaxPooledHandles = 512;
+
+std::string ToLower(std::string aText) {
+  std::transform(aText.begin(), aText.end(), aText.begin(),
+                 [](unsigned char aByte) { return std::tolower(aByte); });
+  return aText;
+}
+
+std::string Trim(const std::string& aText) {
+  const auto first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string::npos) {
+    return "";
+  }
+  const auto last = aText.find_last_not_of(" \t\r\n");
+  return aText.substr(first, last - first + 1);
+}
+
+/** One request in progress. */
+struct Transfer {
+  HttpClient::Id mId = 0;
+  CURL* mHandle = nullptr;
+  curl_slist* mHeaders = nullptr;
+  std::string mBody;
+  HttpClient::Callback mCallback;
+  HttpResult mResult;
+  std::size_t mMaxAnswer = 0;
+  bool mHead = false;
+  /** Set when the request is written to a connection. */
+  bool mWritten = false;
+};
+
+std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount,
+                   void* aTransfer) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer.mResult.mBody.size() + bytes > transfer.mMaxAnswer) {
+    return 0;
+  }
+  transfer.mResult.mBody.append(aData, bytes);
+  return bytes;
+}
+
+std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount,
+                     void* aTransfer) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const std::string line(aData, aSize * aCount);
+  const std::size_t colon = line.find(':');
+  if (colon != std::string::npos) {
+    transfer.mResult.mHeaders[ToLower(line.substr(0, colon))] =
+        Trim(line.substr(colon + 1));
+  }
+  return aSize * aCount;
+}
+
+int OnBeforeWrite(void* aTransfer, char* /*aRemoteIp*/, char* /*aLocalIp*/,
+                  int /*aRemotePort*/, int /*aLocalPort*/) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  if (transfer.mWritten) {
+    // The library repeats a request when a kept connection breaks before the
+    // answer; the other side may have run it already.
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.mWritten = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+bool HasCertainEnd(const Transfer& aTransfer) {
+  const HttpResult& result = aTransfer.mResult;
+  const bool bodiless =
+      aTransfer.mHead || result.mStatus == 204 || result.mStatus == 304;
+  return bodiless || result.mHeaders.contains("content-length") ||
+         ToLower(result.Header("transfer-encoding")) == "chunked";
+}
+
+HttpResultKind KindOf(const Transfer& aTransfer, CURLcode aCode) {
+  if (aCode == CURLE_OK) {
+    return HasCertainEnd(aTransfer) ? HttpResultKind::Answered
+                                    : HttpResultKind::Cut;
+  }
+  if (!aTransfer.mWritten) {
+    long error = 0;
+    curl_easy_getinfo(aTransfer.mHandle, CURLINFO_OS_ERRNO, &error);
+    return error == ECONNREFUSED ? HttpResultKind::Refused
+                                 : HttpResultKind::NotConnected;
+  }
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return HttpResultKind::TimedOut;
+  }
+  return aTransfer.mResult.mHeaders.empty() ? HttpResultKind::Lost
+                                            : HttpResultKind::Cut;
+}
+
+}  // namespace
+
+std::string HttpResult::Header(const std::string& aName) const {
+  const auto found = mHeaders.find(aName);
+  return found == mHeaders.end() ? std::string() : found->second;
+}
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(asio::io_context& aContext)
+      : mContext(aContext), mTimer(aContext), mMulti(curl_multi_init()) {
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(mMulti, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(mMulti, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(mMulti, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
+  }
+
+  ~Impl() {
+    for (auto& [id, transfer] : mTransfers) {
+      curl_multi_remove_handle(mMulti, transfer->mHandle);
+      curl_slist_free_all(transfer->mHeaders);
+      curl_easy_cleanup(transfer->mHandle);
+    }
+    for (CURL* handle : mPool) {
+      curl_easy_cleanup(handle);
+    }
+    curl_multi_cleanup(mMulti);
+  }
+
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
+
+  Id Send(const HttpCall& aCall, Callback aCallback) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->mId = ++mLastId;
+    transfer->mBody = aCall.mBody;
+    transfer->mCallback = std::move(aCallback);
+    transfer->mMaxAnswer = aCall.mMaxAnswer;
+    transfer->mHead = aCall.mMethod == "HEAD";
+    transfer->mHandle = TakeHandle();
+    Prepare(*transfer, aCall);
+    const Id id = transfer->mId;
+    CURL* const handle = transfer->mHandle;
+    mTransfers.emplace(id, std::move(transfer));
+    curl_multi_add_handle(mMulti, handle);
+    return id;
+  }
+
+  void Cancel(Id aId) {
+    const auto found = mTransfers.find(aId);
+    if (found == mTransfers.end()) {
+      return;
+    }
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    mTransfers.erase(found);
+    curl_multi_remove_handle(mMulti, transfer->mHandle);
+    GiveBack(*transfer);
+  }
+
+ private:
+  using Socket = asio::ip::tcp::socket;
+
+  /** A connection's socket and what the library waits for on it. */
+  struct Watch {
+    explicit Watch(asio::io_context& aContext) : mSocket(aContext) {}
+    Socket mSocket;
+    int mWanted = CURL_POLL_NONE;
+    bool mReading = false;
+    bool mWriting = false;
+  };
+
+  CURL* TakeHandle() {
+    if (mPool.empty()) {
+      return curl_easy_init();
+    }
+    CURL* const handle = mPool.back();
+    mPool.pop_back();
+    return handle;
+  }
+
+  void GiveBack(Transfer& aTransfer) {
+    curl_slist_free_all(aTransfer.mHeaders);
+    aTransfer.mHeaders = nullptr;
+    if (mPool.size() >= kMaxPooledHandles) {
+      curl_easy_cleanup(aTransfer.mHandle);
+      return;
+    }
+    curl_easy_reset(aTransfer.mHandle);
+    mPool.push_back(aTransfer.mHandle);
+  }
+
+  void Prepare(Transfer& aTransfer, const HttpCall& aCall) {
+    CURL* const handle = aTransfer.mHandle;
+    const std::string url = "http://" + aCall.mAddress + aCall.mTarget;
+    for (const auto& [name, value] : aCall.mHeaders) {
+      aTransfer.mHeaders =
+          curl_slist_append(aTransfer.mHeaders, (name + ": " + value).c_str());
+    }
+    // Keeps the library from waiting for a "100 Continue".
+    aTransfer.mHeaders = curl_slist_append(aTransfer.mHeaders, "Expect:");
+    const auto timeout = std::max<std::int64_t>(1, aCall.mTimeout.count());
+    const auto connectTimeout =
+        std::min<std::int64_t>(timeout, kConnectTimeout.count());
+    curl_easy_setopt(handle, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(handle, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(handle, CURLOPT_PROXY, "");
+    curl_easy_setopt(handle, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN, kMaxIdleSeconds);
+    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, static_cast<long>(timeout));
+    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(connectTimeout));
+    curl_easy_setopt(handle, CURLOPT_HTTPHEADER, aTransfer.mHeaders);
+    curl_easy_setopt(handle, CURLOPT_PRIVATE, &aTransfer);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEDATA, &aTransfer);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERDATA, &aTransfer);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
+    curl_easy_setopt(handle, CURLOPT_PREREQDATA, &aTransfer);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &Impl::OnOpen);
+    curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnClose);
+    curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
+    if (aTransfer.mHead) {
+      curl_easy_setopt(handle, CURLOPT_NOBODY, 1L);
+    } else if (!aTransfer.mBody.empty() || aCall.mMethod != "GET") {
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDSIZE,
+                       static_cast<long>(aTransfer.mBody.size()));
+      curl_easy_setopt(handle, CURLOPT_POSTFIELDS, aTransfer.mBody.data());
+      curl_easy_setopt(handle, CURLOPT_CUSTOMREQUEST, aCall.mMethod.c_str());
+    }
+  }
+
+  static curl_socket_t OnOpen(void* aSelf, curlsocktype /*aPurpose*/,
+                              curl_sockaddr* aAddress) {
+    auto& self = *static_cast<Impl*>(aSelf);
+    if (aAddress->family != AF_INET) {
+      return CURL_SOCKET_BAD;
+    }
+    auto watch = std::make_shared<Watch>(self.mContext);
+    asio::error_code error;
+    watch->mSocket.open(asio::ip::tcp::v4(), error);
+    if (error) {
+      return CURL_SOCKET_BAD;
+    }
+    const curl_socket_t number = watch->mSocket.native_handle();
+    self.mWatches[number] = std::move(watch);
+    return number;
+  }
+
+  static int OnClose(void* aSelf, curl_socket_t aNumber) {
+    auto& self = *static_cast<Impl*>(aSelf);
+    const auto found = self.mWatches.find(aNumber);
+    if (found != self.mWatches.end()) {
+      found->second->mWanted = CURL_POLL_NONE;
+      asio::error_code ignored;
+      found->second->mSocket.close(ignored);
+      self.mWatches.erase(found);
+    }
+    return 0;
+  }
+
+  static int OnSocket(CURL* /*aHandle*/, curl_socket_t aNumber, int aWanted,
+                      void* aSelf, void* /*aSocket*/) {
+    auto& self = *static_cast<Impl*>(aSelf);
+    const auto found = self.mWatches.find(aNumber);
+    if (found == self.mWatches.end()) {
+      return 0;
+    }
+    found->second->mWanted =
+        aWanted == CURL_POLL_REMOVE ? CURL_POLL_NONE : aWanted;
+    self.WaitFor(aNumber, found->second);
+    return 0;
+  }
+
+  void WaitFor(curl_socket_t aNumber, const std::shared_ptr<Watch>& aWatch) {
+    if ((aWatch->mWanted & CURL_POLL_IN) != 0 && !aWatch->mReading) {
+      aWatch->mReading = true;
+      WaitOnce(aNumber, aWatch, Socket::wait_read, CURL_CSELECT_IN);
+    }
+    if ((aWatch->mWanted & CURL_POLL_OUT) != 0 && !aWatch->mWriting) {
+      aWatch->mWriting = true;
+      WaitOnce(aNumber, aWatch, Socket::wait_write, CURL_CSELECT_OUT);
+    }
+  }
+
+  void WaitOnce(curl_socket_t aNumber, const std::shared_ptr<Watch>& aWatch,
+                Socket::wait_type aType, int aEvent) {
+    aWatch->mSocket.async_wait(
+        aType, [this, aNumber, aWatch, aEvent](asio::error_code aError) {
+          const bool reading = aEvent == CURL_CSELECT_IN;
+          (reading ? aWatch->mReading : aWatch->mWriting) = false;
+          if (!aWatch->mSocket.is_open()) {
+            return;
+          }
+          const int wanted = reading ? CURL_POLL_IN : CURL_POLL_OUT;
+          if ((aWatch->mWanted & wanted) == 0) {
+            return;
+          }
+          Act(aNumber, aError ? CURL_CSELECT_ERR : aEvent);
+          const auto still = mWatches.find(aNumber);
+          if (still != mWatches.end() && still->second == aWatch) {
+            WaitFor(aNumber, aWatch);
+          }
+        });
+  }
+
+  static int OnTimer(CURLM* /*aMulti*/, long aMillis, void* aSelf) {
+    auto& self = *static_cast<Impl*>(aSelf);
+    self.mTimer.cancel();
+    if (aMillis < 0) {
+      return 0;
+    }
+    self.mTimer.expires_after(std::chrono::milliseconds(aMillis));
+    self.mTimer.async_wait([&self](asio::error_code aError) {
+      if (!aError) {
+        self.Act(CURL_SOCKET_TIMEOUT, 0);
+      }
+    });
+    return 0;
+  }
+
+  void Act(curl_socket_t aNumber, int aEvents) {
+    int running = 0;
+    curl_multi_socket_action(mMulti, aNumber, aEvents, &running);
+    int left = 0;
+    while (CURLMsg* const message = curl_multi_info_read(mMulti, &left)) {
+      if (message->msg == CURLMSG_DONE) {
+        Finish(message->easy_handle, message->data.result);
+      }
+    }
+  }
+
+  void Finish(CURL* aHandle, CURLcode aCode) {
+    Transfer* known = nullptr;
+    curl_easy_getinfo(aHandle, CURLINFO_PRIVATE, &known);
+    const auto found = mTransfers.find(known->mId);
+    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    mTransfers.erase(found);
+    long status = 0;
+    curl_easy_getinfo(aHandle, CURLINFO_RESPONSE_CODE, &status);
+    transfer->mResult.mStatus = static_cast<int>(status);
+    long sent = 0;
+    long headers = 0;
+    curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &sent);
+    curl_easy_getinfo(aHandle, CURLINFO_HEADER_SIZE, &headers);
+    transfer->mResult.mBytes = static_cast<std::size_t>(sent + headers) +
+                               transfer->mBody.size() +
+                               transfer->mResult.mBody.size();
+    transfer->mResult.mKind = KindOf(*transfer, aCode);
+    curl_multi_remove_handle(mMulti, aHandle);
+    GiveBack(*transfer);
+    transfer->mCallback(std::move(transfer->mResult));
+  }
+
+  asio::io_context& mContext;
+  asio::steady_timer mTimer;
+  CURLM* mMulti;
+  Id mLastId = 0;
+  std::unordered_map<Id, std::unique_ptr<Transfer>> mTransfers;
+  std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> mWatches;
+  std::vector<CURL*> mPool;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext)
+    : mImpl(std::make_unique<Impl>(aContext)) {}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Id HttpClient::Send(const HttpCall& aCall, Callback aCallback) {
+  return mImpl->Send(aCall, std::move(aCallback));
+}
+
+void HttpClient::Cancel(Id aId) { mImpl->Cancel(aId); }
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/http_server.cpp
@@ -0,0 +1,189 @@
+#include "drivers/http_server.h"
+
+#include <exception>
+#include <restinio/all.hpp>
+#include <restinio/incoming_http_msg_limits.hpp>
+#include <string_view>
+
+namespace papayawheel {
+namespace {
+
+constexpr std::size_t kMaxUrl = 8192;
+constexpr std::size_t kMaxFields = 100;
+constexpr std::size_t kMaxFieldValue = 8192;
+constexpr std::chrono::seconds kIdleTimeout{60};
+constexpr std::chrono::seconds kWriteTimeout{10};
+
+/** Answers come from the engine, which bounds them; this only guards against
+ * an exchange that is never answered. */
+constexpr std::chrono::minutes kHandleTimeout{15};
+
+/** While one request is handled the next one is awaited, so that a connection
+ * that the caller closes is noticed at once. */
+constexpr std::size_t kPipelined = 2;
+
+/** Tells when a connection has ended. */
+class ClosedListener {
+ public:
+  explicit ClosedListener(HttpServer::ClosedHandler aHandler)
+      : mHandler(std::move(aHandler)) {}
+
+  void state_changed(  // NOLINT(readability-identifier-naming)
+      const restinio::connection_state::notice_t& aNotice) {
+    if (mHandler &&
+        restinio::holds_alternative<restinio::connection_state::closed_t>(
+            aNotice.cause())) {
+      mHandler(aNotice.connection_id());
+    }
+  }
+
+ private:
+  HttpServer::ClosedHandler mHandler;
+};
+
+struct ServerTraits
+    : public restinio::traits_t<
+          restinio::asio_timer_manager_t, restinio::null_logger_t,
+          restinio::default_request_handler_t, restinio::noop_strand_t> {
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  using connection_state_listener_t = ClosedListener;
+};
+
+class RestinioExchange : public HttpExchange {
+ public:
+  explicit RestinioExchange(restinio::request_handle_t aRequest)
+      : mRequest(std::move(aRequest)) {}
+
+  std::string Method() const override {
+    return mRequest->header().method().c_str();
+  }
+
+  std::string Target() const override {
+    return mRequest->header().request_target();
+  }
+
+  std::optional<std::string> Header(const std::string& aName) const override {
+    const auto value = mRequest->header().opt_value_of(aName);
+    if (!value) {
+      return std::nullopt;
+    }
+    return std::string(value->data(), value->size());
+  }
+
+  HeaderList Headers() const override {
+    HeaderList headers;
+    mRequest->header().for_each_field([&headers](const auto& aField) {
+      headers.emplace_back(aField.name(), aField.value());
+    });
+    return headers;
+  }
+
+  const std::string& Body() const override { return mRequest->body(); }
+
+  std::uint64_t ConnectionId() const override {
+    return mRequest->connection_id();
+  }
+
+  void Reply(const HttpReply& aReply) override {
+    if (mReplied) {
+      return;
+    }
+    mReplied = true;
+    const restinio::http_status_line_t line(
+        restinio::http_status_code_t(
+            static_cast<std::uint16_t>(aReply.mStatus)),
+        "Status");
+    auto response = mRequest->create_response(line);
+    for (const auto& [name, value] : aReply.mHeaders) {
+      response.append_header(name, value);
+    }
+    if (!aReply.mContentType.empty()) {
+      response.append_header("Content-Type", aReply.mContentType);
+    }
+    if (aReply.mClose) {
+      response.connection_close();
+    }
+    response.set_body(aReply.mBody);
+    response.done();
+  }
+
+ private:
+  restinio::request_handle_t mRequest;
+  bool mReplied = false;
+};
+
+}  // namespace
+
+class HttpServer::Impl {
+ public:
+  Impl(asio::io_context& aContext, const HttpServerSettings& aSettings,
+       Handler aHandler, ClosedHandler aClosedHandler)
+      : mServer(restinio::external_io_context(aContext),
+                [&](auto& aServerSettings) {
+                  Configure(aServerSettings, aSettings, std::move(aHandler),
+                            std::move(aClosedHandler));
+                }) {}
+
+  restinio::http_server_t<ServerTraits> mServer;
+
+ private:
+  template <typename ServerSettings>
+  static void Configure(ServerSettings& aServerSettings,
+                        const HttpServerSettings& aSettings, Handler aHandler,
+                        ClosedHandler aClosedHandler) {
+    using ReusePort =
+        asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+    const bool sharePort = aSettings.mSharePort;
+    aServerSettings.address(aSettings.mIp)
+        .port(aSettings.mPort)
+        .max_pipelined_requests(kPipelined)
+        .read_next_http_message_timelimit(kIdleTimeout)
+        .write_http_response_timelimit(kWriteTimeout)
+        .handle_request_timeout(kHandleTimeout)
+        .concurrent_accepts_count(1)
+        .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                      .max_url_size(kMaxUrl)
+                                      .max_field_count(kMaxFields)
+                                      .max_field_value_size(kMaxFieldValue)
+                                      .max_body_size(aSettings.mMaxBody))
+        .acceptor_options_setter(
+            [sharePort](restinio::acceptor_options_t& aOptions) {
+              aOptions.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+              if (sharePort) {
+                aOptions.set_option(ReusePort(true));
+              }
+            })
+        .socket_options_setter([](restinio::socket_options_t& aOptions) {
+          aOptions.set_option(asio::ip::tcp::no_delay(true));
+        })
+        .connection_state_listener(
+            std::make_shared<ClosedListener>(std::move(aClosedHandler)))
+        .request_handler([handler = std::move(aHandler)](
+                             restinio::request_handle_t aRequest) {
+          handler(std::make_shared<RestinioExchange>(std::move(aRequest)));
+          return restinio::request_accepted();
+        });
+  }
+};
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       const HttpServerSettings& aSettings, Handler aHandler,
+                       ClosedHandler aClosedHandler)
+    : mImpl(std::make_unique<Impl>(aContext, aSettings, std::move(aHandler),
+                                   std::move(aClosedHandler))) {}
+
+HttpServer::~HttpServer() = default;
+
+bool HttpServer::Start() {
+  try {
+    mImpl->mServer.open_sync();
+    return true;
+  } catch (const std::exception& error) {
+    mLastError = error.what();
+    return false;
+  }
+}
+
+void HttpServer::Stop() { mImpl->mServer.close_sync(); }
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/http_server.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/outcome/response.h"
+
+namespace papayawheel {
+
+/** What a server sends back. */
+struct HttpReply {
+  int mStatus = 200;
+  /** No header is added when this is empty. */
+  std::string mContentType = "application/json";
+  HeaderList mHeaders;
+  std::string mBody;
+  /** Close the connection after the answer. */
+  bool mClose = false;
+};
+
+/** One request that has arrived and its way back. It may be kept and answered
+ * later, from the thread of the server only. */
+class HttpExchange {
+ public:
+  HttpExchange() = default;
+  HttpExchange(const HttpExchange&) = delete;
+  HttpExchange& operator=(const HttpExchange&) = delete;
+  virtual ~HttpExchange() = default;
+
+  [[nodiscard]] virtual std::string Method() const = 0;
+  /** Path and query. */
+  [[nodiscard]] virtual std::string Target() const = 0;
+  [[nodiscard]] virtual std::optional<std::string> Header(
+      const std::string& aName) const = 0;
+  /** All headers, in the order of the message. */
+  [[nodiscard]] virtual HeaderList Headers() const = 0;
+  [[nodiscard]] virtual const std::string& Body() const = 0;
+  /** Names the connection within its server. */
+  [[nodiscard]] virtual std::uint64_t ConnectionId() const = 0;
+  /** Sends the answer; only the first call counts. */
+  virtual void Reply(const HttpReply& aReply) = 0;
+};
+
+using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+
+struct HttpServerSettings {
+  std::string mIp = "127.0.0.1";
+  std::uint16_t mPort = 0;
+  /** A connection whose request body is larger is closed unanswered. */
+  std::size_t mMaxBody = 8U << 20U;
+  /** Let several servers of one process share the port. */
+  bool mSharePort = false;
+};
+
+/** Serves HTTP/1.1 on the thread that runs an I/O context. */
+class HttpServer {
+ public:
+  using Handler = std::function<void(HttpExchangePtr)>;
+  using ClosedHandler = std::function<void(std::uint64_t)>;
+
+  HttpServer(asio::io_context& aContext, const HttpServerSettings& aSettings,
+             Handler aHandler, ClosedHandler aClosedHandler = {});
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  /** Starts listening. False when the address cannot be used; LastError()
+   * says why. */
+  bool Start();
+
+  /** Stops listening and closes all connections. */
+  void Stop();
+
+  [[nodiscard]] const std::string& LastError() const { return mLastError; }
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> mImpl;
+  std::string mLastError;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/log.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <initializer_list>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace papayawheel {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+
+/** Reads "debug", "info", "warning" or "error". */
+std::optional<LogLevel> LogLevelNamed(std::string_view aName);
+
+/** One key and its value in a log line. */
+struct LogField {
+  template <typename Value>
+  LogField(std::string_view aKey, const Value& aValue)
+      : mKey(aKey), mValue(fmt::format("{}", aValue)) {}
+
+  std::string_view mKey;
+  std::string mValue;
+};
+
+/** Drops events below this level; Info at the start. */
+void SetLogLevel(LogLevel aLevel);
+
+/** Writes one event as one line of key=value pairs to standard error. Values
+ * with spaces or quotes are quoted. Safe for use by several threads. */
+void Log(LogLevel aLevel, std::string_view aEvent,
+         std::initializer_list<LogField> aFields = {});
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/program_settings.cpp
@@ -0,0 +1,247 @@
+#include "drivers/program_settings.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/program_options.hpp>
+#include <cctype>
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <utility>
+
+#include "core/config/address.h"
+#include "drivers/log.h"
+
+namespace papayawheel {
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr std::string_view kVersion = "0.1.0";
+
+std::string VariableOf(const std::string& aName) {
+  std::string variable = "PAPAYAWHEEL_";
+  for (const char byte : aName) {
+    variable +=
+        byte == '-'
+            ? '_'
+            : static_cast<char>(std::toupper(static_cast<unsigned char>(byte)));
+  }
+  return variable;
+}
+
+std::optional<std::int64_t> ParseWhole(const std::string& aText) {
+  std::int64_t number = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto [rest, fault] = std::from_chars(aText.data(), end, number);
+  if (fault != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+}  // namespace
+
+class ProgramSettings::Impl {
+ public:
+  struct Setting {
+    std::optional<std::string> mDefault;
+    Check mCheck;
+  };
+
+  /** Adds what one setting's value or its absence is worth to the faults. */
+  void Settle(const std::string& aName, const Setting& aSetting,
+              const options::variables_map& aFlags) {
+    const char* const variable = std::getenv(VariableOf(aName).c_str());
+    std::string value;
+    if (aFlags.count(aName) > 0) {
+      value = aFlags[aName].as<std::string>();
+    } else if (variable != nullptr) {
+      value = variable;
+    } else if (aSetting.mDefault) {
+      mValues[aName] = *aSetting.mDefault;
+      return;
+    } else {
+      mFaults.push_back(
+          fmt::format("setting \"{}\" must be given, as --{} or "
+                      "as {}",
+                      aName, aName, VariableOf(aName)));
+      return;
+    }
+    if (aSetting.mCheck) {
+      if (const auto fault = aSetting.mCheck(value)) {
+        mFaults.push_back(fmt::format("setting \"{}\": value \"{}\" {}", aName,
+                                      value, *fault));
+      }
+    }
+    mValues[aName] = value;
+  }
+
+  std::string mProgram;
+  std::string mSummary;
+  std::string mWordsHelp;
+  options::options_description mDescription{"Settings"};
+  std::map<std::string, Setting> mSettings;
+  std::map<std::string, std::string> mValues;
+  std::vector<std::string> mWords;
+  std::vector<std::string> mFaults;
+};
+
+ProgramSettings::ProgramSettings(std::string aProgram, std::string aSummary)
+    : mImpl(std::make_unique<Impl>()) {
+  mImpl->mProgram = std::move(aProgram);
+  mImpl->mSummary = std::move(aSummary);
+  mImpl->mDescription.add_options()("help", "print this text and exit")(
+      "version", "print the version and exit");
+}
+
+ProgramSettings::~ProgramSettings() = default;
+
+void ProgramSettings::Add(const std::string& aName,
+                          std::optional<std::string> aDefault,
+                          const std::string& aHelp, Check aCheck) {
+  const std::string help =
+      aDefault ? fmt::format("{} (default \"{}\")", aHelp, *aDefault)
+               : fmt::format("{} (required)", aHelp);
+  mImpl->mDescription.add_options()(
+      aName.c_str(), options::value<std::string>(), help.c_str());
+  mImpl->mSettings[aName] =
+      Impl::Setting{std::move(aDefault), std::move(aCheck)};
+}
+
+void ProgramSettings::AddNumber(const std::string& aName,
+                                std::optional<std::int64_t> aDefault,
+                                std::int64_t aLeast, std::int64_t aMost,
+                                const std::string& aHelp) {
+  std::optional<std::string> text;
+  if (aDefault) {
+    text = fmt::format("{}", *aDefault);
+  }
+  Add(aName, std::move(text), aHelp,
+      [aLeast, aMost](const std::string& aValue) -> std::optional<std::string> {
+        const auto number = ParseWhole(aValue);
+        if (number && *number >= aLeast && *number <= aMost) {
+          return std::nullopt;
+        }
+        return fmt::format("must be a whole number from {} to {}", aLeast,
+                           aMost);
+      });
+}
+
+void ProgramSettings::AllowWords(const std::string& aHelp) {
+  mImpl->mWordsHelp = aHelp;
+}
+
+std::optional<int> ProgramSettings::Parse(int aCount,
+                                          const char* const* aArguments) {
+  options::options_description all;
+  all.add(mImpl->mDescription);
+  all.add_options()("word", options::value<std::vector<std::string>>());
+  options::positional_options_description positions;
+  positions.add("word", mImpl->mWordsHelp.empty() ? 0 : -1);
+  options::variables_map flags;
+  try {
+    options::store(options::command_line_parser(aCount, aArguments)
+                       .options(all)
+                       .positional(positions)
+                       .run(),
+                   flags);
+  } catch (const options::error& error) {
+    fmt::print(stderr, "{}: {}\n", mImpl->mProgram, error.what());
+    return kExitBadSettings;
+  }
+  if (flags.count("help") > 0) {
+    fmt::print("{}: {}\n\nUsage: {} [settings] {}\n\n", mImpl->mProgram,
+               mImpl->mSummary, mImpl->mProgram, mImpl->mWordsHelp);
+    std::cout << mImpl->mDescription
+              << "\nEach setting may also be given in the environment, as in "
+                 "PAPAYAWHEEL_LOG_LEVEL.\n"
+                 "Exit codes: 0 done, 1 failure, 2 bad settings.\n";
+    return kExitOk;
+  }
+  if (flags.count("version") > 0) {
+    fmt::print("{} {}\n", mImpl->mProgram, kVersion);
+    return kExitOk;
+  }
+  if (flags.count("word") > 0) {
+    mImpl->mWords = flags["word"].as<std::vector<std::string>>();
+  }
+  for (const auto& [name, setting] : mImpl->mSettings) {
+    mImpl->Settle(name, setting, flags);
+  }
+  for (const std::string& fault : mImpl->mFaults) {
+    fmt::print(stderr, "{}: {}\n", mImpl->mProgram, fault);
+  }
+  if (!mImpl->mFaults.empty()) {
+    return kExitBadSettings;
+  }
+  return std::nullopt;
+}
+
+std::string ProgramSettings::Text(const std::string& aName) const {
+  return mImpl->mValues.at(aName);
+}
+
+std::int64_t ProgramSettings::Number(const std::string& aName) const {
+  return ParseWhole(Text(aName)).value_or(0);
+}
+
+std::vector<std::string> ProgramSettings::List(const std::string& aName) const {
+  return SplitList(Text(aName));
+}
+
+const std::vector<std::string>& ProgramSettings::Words() const {
+  return mImpl->mWords;
+}
+
+std::optional<std::string> CheckAddress(const std::string& aValue) {
+  if (IsAddress(aValue)) {
+    return std::nullopt;
+  }
+  return "must be an IP number and a port, as in \"10.0.0.7:8080\"";
+}
+
+std::optional<std::string> CheckAddressList(const std::string& aValue) {
+  const std::vector<std::string> parts = SplitList(aValue);
+  if (std::all_of(parts.begin(), parts.end(), IsAddress)) {
+    return std::nullopt;
+  }
+  return "must be IP numbers and ports, separated by commas";
+}
+
+std::optional<std::string> CheckName(const std::string& aValue) {
+  const bool legal =
+      !aValue.empty() &&
+      std::all_of(aValue.begin(), aValue.end(), [](unsigned char aByte) {
+        return std::isalnum(aByte) != 0 || aByte == '-' || aByte == '_';
+      });
+  if (legal) {
+    return std::nullopt;
+  }
+  return "must be letters, digits, '-' or '_'";
+}
+
+std::optional<std::string> CheckLogLevel(const std::string& aValue) {
+  if (LogLevelNamed(aValue)) {
+    return std::nullopt;
+  }
+  return "must be \"debug\", \"info\", \"warning\" or \"error\"";
+}
+
+std::vector<std::string> SplitList(const std::string& aText) {
+  std::vector<std::string> parts;
+  std::size_t start = 0;
+  while (start <= aText.size()) {
+    const std::size_t comma = std::min(aText.find(',', start), aText.size());
+    if (comma > start) {
+      parts.push_back(aText.substr(start, comma - start));
+    }
+    start = comma + 1;
+  }
+  return parts;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/main/ctl_main.cpp
@@ -0,0 +1,78 @@
+#include <fmt/format.h>
+
+#include <asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+
+#include "drivers/http_client.h"
+#include "drivers/program_settings.h"
+
+namespace {
+
+using namespace papayawheel;
+
+constexpr std::chrono::milliseconds kTimeout{5000};
+
+std::optional<HttpCall> CallOf(const std::vector<std::string>& aWords) {
+  HttpCall call;
+  call.mTimeout = kTimeout;
+  const std::string verb = aWords.empty() ? "" : aWords[0];
+  if (verb == "status" && aWords.size() == 1) {
+    call.mTarget = "/papayawheel/v1/status";
+  } else if (verb == "audit" && aWords.size() == 1) {
+    call.mTarget = "/papayawheel/v1/audit";
+  } else if (verb == "metrics" && aWords.size() == 1) {
+    call.mTarget = "/metrics";
+  } else if (verb == "customer" && aWords.size() == 2) {
+    call.mTarget = "/papayawheel/v1/customers/" + aWords[1];
+  } else if (verb == "outcome" && aWords.size() == 2) {
+    call.mTarget = "/papayawheel/v1/outcome?key=" + aWords[1];
+  } else if (verb == "hosts" && aWords.size() == 2) {
+    call.mTarget = "/papayawheel/v1/hosts?customer=" + aWords[1];
+  } else if ((verb == "drain" || verb == "undrain") && aWords.size() == 1) {
+    call.mMethod = "POST";
+    call.mTarget = "/papayawheel/v1/drain";
+    call.mBody = nlohmann::json{{"leaving", verb == "drain"}}.dump();
+  } else {
+    return std::nullopt;
+  }
+  return call;
+}
+
+void Print(const std::string& aBody) {
+  const auto value = nlohmann::json::parse(aBody, nullptr, false);
+  fmt::print("{}\n", value.is_discarded() ? aBody : value.dump(2));
+}
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-ctl", "asks or tells an entry host");
+  settings.Add("host", std::nullopt, "address of the entry host", CheckAddress);
+  settings.AllowWords(
+      "status | customer NAME | hosts NAME | outcome KEY | audit | metrics | "
+      "drain | undrain");
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  std::optional<HttpCall> call = CallOf(settings.Words());
+  if (!call) {
+    fmt::print(stderr, "papayawheel-ctl: unknown command; see --help\n");
+    return kExitBadSettings;
+  }
+  call->mAddress = settings.Text("host");
+  asio::io_context context;
+  HttpClient client(context);
+  HttpResult result;
+  client.Send(*call, [&](HttpResult aResult) {
+    result = std::move(aResult);
+    context.stop();
+  });
+  context.run();
+  if (result.mKind != HttpResultKind::Answered) {
+    fmt::print(stderr, "papayawheel-ctl: host {} did not answer\n",
+               call->mAddress);
+    return kExitFailure;
+  }
+  Print(result.mBody);
+  return result.mStatus < 400 ? kExitOk : kExitFailure;
+}
--- /dev/null
+++ b/misc/run_tests.sh
@@ -0,0 +1,38 @@
+#!/usr/bin/env bash
+# Runs the unit tests and the process tests. A test that KNOWN-RED.txt lists
+# may fail; it is printed. Any other failure fails the run.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+# The seed of every property is fixed, so a run gives the same verdict.
+export RC_PARAMS="seed=20261204 max_success=1000"
+passed=0
+failed=0
+note() {
+  local name="$1" result="$2"
+  if [ "$result" -eq 0 ]; then
+    passed=$((passed + 1))
+  elif [ -f KNOWN-RED.txt ] && grep -q "^$name:" KNOWN-RED.txt; then
+    echo "KNOWN RED: $(grep "^$name:" KNOWN-RED.txt)"
+  else
+    echo "FAILED: $name"
+    failed=$((failed + 1))
+  fi
+}
+while read -r name; do
+  [ -n "$name" ] || continue
+  build/papayawheel-tests --test-case="$name" --no-intro >build/test.out 2>&1
+  result=$?
+  [ "$result" -ne 0 ] && tail -40 build/test.out
+  note "$name" "$result"
+done < <(build/papayawheel-tests --list-test-cases --no-intro |
+  grep -v '^\[doctest\]\|^===')
+for script in tests/process/*.sh; do
+  [ -e "$script" ] || continue
+  name="$(basename "$script" .sh)"
+  timeout 120 bash "$script" >build/test.out 2>&1
+  result=$?
+  [ "$result" -ne 0 ] && tail -40 build/test.out
+  note "$name" "$result"
+done
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
--- /dev/null
+++ b/servers/control_api.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+#include "drivers/http_server.h"
+#include "servers/control_worker.h"
+
+namespace papayawheel {
+
+/** Answers the requests that concern the host itself, for callers, operators
+ * and other hosts. Used on the control thread only. */
+class ControlApi {
+ public:
+  explicit ControlApi(ControlWorker& aWorker) : mWorker(aWorker) {}
+
+  HttpReply Answer(const HttpExchange& aExchange);
+
+ private:
+  HttpReply AnswerHosts(const std::string& aTarget);
+  HttpReply AnswerOutcome(const std::string& aTarget);
+  HttpReply AnswerStatus();
+  HttpReply AnswerCustomer(const std::string& aCustomer);
+  HttpReply AnswerAudit(const std::string& aTarget);
+  HttpReply AnswerDrain(const HttpExchange& aExchange);
+  HttpReply AnswerMetrics();
+  HttpReply TakeHeartbeat(const HttpExchange& aExchange);
+  HttpReply GiveConfiguration(const std::string& aTarget);
+  HttpReply TakeConfiguration(const HttpExchange& aExchange);
+  HttpReply TakeCrashes(const HttpExchange& aExchange);
+
+  ControlWorker& mWorker;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/servers/entry_server.cpp
@@ -0,0 +1,97 @@
+#include "servers/entry_server.h"
+
+#include <utility>
+
+#include "core/membership/host_directory.h"
+#include "drivers/log.h"
+
+namespace papayawheel {
+namespace {
+
+/** Time for the news that the host leaves to reach the others. */
+constexpr std::chrono::seconds kLeaveMargin{1};
+constexpr std::chrono::milliseconds kPoll{20};
+
+/** Time for the last answers to leave the process. */
+constexpr std::chrono::milliseconds kFlush{100};
+
+}  // namespace
+
+EntryServer::EntryServer(const EntrySettings& aSettings, const Clock& aClock)
+    : mSettings(aSettings),
+      mState(
+          HostIdentity{aSettings.mControl.mName, aSettings.mControl.mDataCentre,
+                       aSettings.mIncarnation},
+          aClock),
+      mControl(mState, aSettings.mControl, aSettings.mPlatform) {
+  for (std::uint32_t index = 0; index < mSettings.mTrafficThreads; ++index) {
+    TrafficHooks hooks;
+    hooks.mOnHostRequest = [this](const HttpExchangePtr& aExchange,
+                                  asio::io_context& aContext) {
+      mControl.TakeRequest(aExchange, aContext);
+    };
+    hooks.mDeliver = [this](const CallActions& aActions) { Deliver(aActions); };
+    hooks.mOnCrashes = [this](std::vector<CrashReport> aReports) {
+      mControl.SpreadCrashes(std::move(aReports));
+    };
+    mWorkers.push_back(std::make_unique<TrafficWorker>(
+        mState, index, mSettings.mTraffic, std::move(hooks)));
+  }
+}
+
+EntryServer::~EntryServer() {
+  for (const auto& worker : mWorkers) {
+    worker->Stop();
+  }
+  mControl.Stop();
+  for (std::thread& thread : mThreads) {
+    thread.join();
+  }
+}
+
+bool EntryServer::Start() {
+  for (const auto& worker : mWorkers) {
+    if (!worker->Start()) {
+      mLastError = worker->LastError();
+      return false;
+    }
+  }
+  mThreads.emplace_back([this] { mControl.Run(); });
+  for (const auto& worker : mWorkers) {
+    mThreads.emplace_back([&worker = *worker] { worker.Run(); });
+  }
+  return true;
+}
+
+void EntryServer::StopGracefully(const std::atomic<bool>& aHurry) {
+  Log(LogLevel::Info, "stopping", {{"host", mState.Identity().mName}});
+  mControl.SetLeaving(true, "the process was told to stop");
+  const TimePoint leaveBy =
+      mState.TimeSource().Now() + kAnswerKeep + kLeaveMargin;
+  while (!aHurry && mState.TimeSource().Now() < leaveBy) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  while (!aHurry && CallsInFlight() > 0) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  if (!aHurry) {
+    std::this_thread::sleep_for(kFlush);
+  }
+  Log(LogLevel::Info, "stopped",
+      {{"host", mState.Identity().mName}, {"cut_off", CallsInFlight()}});
+}
+
+void EntryServer::Deliver(const CallActions& aActions) {
+  for (const CallAction& action : aActions) {
+    const CallId id =
+        std::visit([](const auto& aAction) { return aAction.mCall; }, action);
+    mWorkers.at(TrafficWorker::WorkerOf(id))->Take({action});
+  }
+}
+
+std::size_t EntryServer::CallsInFlight() {
+  return mState.WithEngine(
+      [](CallEngine& aEngine) { return aEngine.InFlight(); });
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/servers/host_state.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <atomic>
+#include <mutex>
+#include <utility>
+
+#include "core/entry/call_engine.h"
+#include "drivers/metrics.h"
+
+namespace papayawheel {
+
+/** What the control thread and the traffic threads of one host share. */
+class HostState {
+ public:
+  HostState(HostIdentity aIdentity, const Clock& aClock)
+      : mIdentity(std::move(aIdentity)),
+        mClock(aClock),
+        mEngine(mIdentity, aClock.Now()) {}
+
+  /** Runs a function on the engine while no other thread uses it. */
+  template <typename Function>
+  auto WithEngine(Function aFunction) {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    return aFunction(mEngine);
+  }
+
+  [[nodiscard]] const HostIdentity& Identity() const { return mIdentity; }
+  [[nodiscard]] const Clock& TimeSource() const { return mClock; }
+  [[nodiscard]] LatencyMetrics& Latencies() { return mLatencies; }
+
+  /** Whether the host is about to stop or is drained. */
+  [[nodiscard]] bool IsLeaving() const { return mLeaving; }
+  void SetLeaving(bool aLeaving) { mLeaving = aLeaving; }
+
+ private:
+  HostIdentity mIdentity;
+  const Clock& mClock;
+  std::mutex mMutex;
+  CallEngine mEngine;
+  LatencyMetrics mLatencies;
+  std::atomic<bool> mLeaving{false};
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/servers/traffic_worker.cpp
@@ -0,0 +1,235 @@
+#include "servers/traffic_worker.h"
+
+#include <fmt/format.h>
+
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+#include <string_view>
+#include <utility>
+
+#include "servers/call_messages.h"
+
+namespace papayawheel {
+namespace {
+
+constexpr std::chrono::milliseconds kTick{2};
+
+/** The number of the worker stands above the number of the call. */
+constexpr unsigned kWorkerShift = 48;
+
+/** Targets that concern the host itself start with one of these. */
+constexpr std::string_view kHostPrefix = "/papayawheel/";
+constexpr std::string_view kMetricsTarget = "/metrics";
+
+}  // namespace
+
+TrafficWorker::TrafficWorker(HostState& aState, std::uint32_t aIndex,
+                             const TrafficSettings& aSettings,
+                             TrafficHooks aHooks)
+    : mState(aState),
+      mIndex(aIndex),
+      mSettings(aSettings),
+      mHooks(std::move(aHooks)),
+      mContext(1),
+      mClient(mContext),
+      mServer(
+          mContext, aSettings.mServer,
+          [this](const HttpExchangePtr& aExchange) { OnRequest(aExchange); },
+          [this](std::uint64_t aConnection) { OnClosed(aConnection); }),
+      mTimer(mContext) {}
+
+bool TrafficWorker::Start() {
+  if (!mServer.Start()) {
+    return false;
+  }
+  OnTick();
+  return true;
+}
+
+void TrafficWorker::Stop() {
+  asio::post(mContext, [this] {
+    mServer.Stop();
+    mContext.stop();
+  });
+}
+
+void TrafficWorker::Take(CallActions aActions) {
+  asio::dispatch(mContext, [this, actions = std::move(aActions)] {
+    for (const CallAction& action : actions) {
+      Perform(action);
+    }
+  });
+}
+
+std::uint32_t TrafficWorker::WorkerOf(CallId aId) {
+  return static_cast<std::uint32_t>(aId >> kWorkerShift);
+}
+
+template <typename Event>
+void TrafficWorker::Decide(Event aEvent) {
+  CallActions actions;
+  std::vector<CrashReport> crashes;
+  mState.WithEngine([&](CallEngine& aEngine) {
+    actions = aEvent(aEngine, mState.TimeSource().Now());
+    crashes = aEngine.TakeCrashReports();
+  });
+  if (!crashes.empty()) {
+    // The other hosts are told before the caller, who may send the request
+    // again through one of them.
+    mHooks.mOnCrashes(std::move(crashes));
+  }
+  mHooks.mDeliver(actions);
+}
+
+void TrafficWorker::OnRequest(const HttpExchangePtr& aExchange) {
+  const std::string target = aExchange->Target();
+  if (target.starts_with(kHostPrefix) || target == kMetricsTarget) {
+    mHooks.mOnHostRequest(aExchange, mContext);
+    return;
+  }
+  std::string reason;
+  std::optional<CallRequest> request = ReadCall(*aExchange, reason);
+  if (!request) {
+    aExchange->Reply(
+        ErrorReply(ErrorKind::BadRequest, Duration::zero(), reason));
+    return;
+  }
+  if (aExchange->Body().size() > mSettings.mMaxBody) {
+    aExchange->Reply(
+        ErrorReply(ErrorKind::BodyTooLarge, Duration::zero(),
+                   fmt::format("the limit is {} bytes", mSettings.mMaxBody)));
+    return;
+  }
+  const CallId id = (CallId{mIndex} << kWorkerShift) | ++mLastCall;
+  Call call;
+  call.mExchange = aExchange;
+  call.mRequest = std::move(*request);
+  call.mHeaders = aExchange->Headers();
+  call.mConnection = aExchange->ConnectionId();
+  call.mArrivedAt = mState.TimeSource().Now();
+  mConnections[call.mConnection].insert(id);
+  const Call& stored = mCalls.emplace(id, std::move(call)).first->second;
+  Decide([&](CallEngine& aEngine, TimePoint aNow) {
+    return aEngine.Arrive(id, stored.mRequest, aNow);
+  });
+}
+
+void TrafficWorker::OnClosed(std::uint64_t aConnection) {
+  const auto found = mConnections.find(aConnection);
+  if (found == mConnections.end()) {
+    return;
+  }
+  const std::unordered_set<CallId> calls = std::move(found->second);
+  mConnections.erase(found);
+  for (const CallId id : calls) {
+    Decide([id](CallEngine& aEngine, TimePoint aNow) {
+      return aEngine.CallerLeft(id, aNow);
+    });
+  }
+}
+
+void TrafficWorker::OnTick() {
+  // One worker is enough to drive the engine's own timers.
+  if (mIndex != 0) {
+    return;
+  }
+  Decide(
+      [](CallEngine& aEngine, TimePoint aNow) { return aEngine.Tick(aNow); });
+  mTimer.expires_after(kTick);
+  mTimer.async_wait([this](asio::error_code aError) {
+    if (!aError) {
+      OnTick();
+    }
+  });
+}
+
+void TrafficWorker::Perform(const CallAction& aAction) {
+  if (const auto* answer = std::get_if<AnswerAction>(&aAction)) {
+    Answer(*answer);
+  } else if (const auto* send = std::get_if<SendToEndpointAction>(&aAction)) {
+    SendToEndpoint(*send);
+  } else if (const auto* pass = std::get_if<SendToHostAction>(&aAction)) {
+    SendToHost(*pass);
+  } else if (const auto* cancel = std::get_if<CancelAction>(&aAction)) {
+    Cancel(*cancel);
+  }
+}
+
+void TrafficWorker::Answer(const AnswerAction& aAction) {
+  const auto found = mCalls.find(aAction.mCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const Call call = std::move(found->second);
+  mCalls.erase(found);
+  const auto connection = mConnections.find(call.mConnection);
+  if (connection != mConnections.end()) {
+    connection->second.erase(aAction.mCall);
+    if (connection->second.empty()) {
+      mConnections.erase(connection);
+    }
+  }
+  if (aAction.mResponse != nullptr) {
+    const auto total = std::chrono::duration_cast<Duration>(
+        mState.TimeSource().Now() - call.mArrivedAt);
+    mState.Latencies().Add(total, total - call.mElsewhere);
+  }
+  call.mExchange->Reply(CallerReply(aAction));
+}
+
+void TrafficWorker::SendToEndpoint(const SendToEndpointAction& aAction) {
+  const auto found = mCalls.find(aAction.mCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.mSentAt = mState.TimeSource().Now();
+  const CallId id = aAction.mCall;
+  call.mSending =
+      mClient.Send(EndpointCall(aAction, call.mRequest, call.mHeaders,
+                                call.mExchange->Body()),
+                   [this, id](const HttpResult& aResult) {
+                     NoteReturned(id);
+                     const EndpointReply reply = ReadEndpointReply(aResult);
+                     Decide([&](CallEngine& aEngine, TimePoint aNow) {
+                       return aEngine.EndpointReplied(id, reply, aNow);
+                     });
+                   });
+}
+
+void TrafficWorker::SendToHost(const SendToHostAction& aAction) {
+  const auto found = mCalls.find(aAction.mCall);
+  if (found == mCalls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.mSentAt = mState.TimeSource().Now();
+  const CallId id = aAction.mCall;
+  call.mSending = mClient.Send(
+      HostCall(aAction, call.mRequest, call.mHeaders, call.mExchange->Body()),
+      [this, id](const HttpResult& aResult) {
+        NoteReturned(id);
+        const HostReply reply = ReadHostReply(aResult);
+        Decide([&](CallEngine& aEngine, TimePoint aNow) {
+          return aEngine.HostReplied(id, reply, aNow);
+        });
+      });
+}
+
+void TrafficWorker::NoteReturned(CallId aId) {
+  const auto found = mCalls.find(aId);
+  if (found != mCalls.end()) {
+    Call& call = found->second;
+    call.mElsewhere += std::chrono::duration_cast<Duration>(
+        mState.TimeSource().Now() - call.mSentAt);
+  }
+}
+
+void TrafficWorker::Cancel(const CancelAction& aAction) {
+  const auto found = mCalls.find(aAction.mCall);
+  if (found != mCalls.end()) {
+    mClient.Cancel(found->second.mSending);
+  }
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/standins/endpoint_main.cpp
@@ -0,0 +1,234 @@
+// A stand-in for an endpoint: a fixed number of slots, service times, load
+// reports, and the ways in which a server misbehaves.
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <charconv>
+#include <deque>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+
+#include "core/config/address.h"
+#include "drivers/http_server.h"
+#include "drivers/log.h"
+#include "drivers/program_settings.h"
+#include "servers/header_names.h"
+#include "servers/query.h"
+
+namespace {
+
+using namespace papayawheel;
+using Json = nlohmann::json;
+using SteadyClock = std::chrono::steady_clock;
+
+/** Switched while the stand-in runs, by PUT /standin/fault. */
+struct Faults {
+  bool mDraining = false;
+  /** Service times are multiplied by this. */
+  double mSlowdown = 1;
+  /** Reported load is multiplied by this. */
+  double mLie = 1;
+  /** Every call is answered at once with status 500. */
+  bool mFailFast = false;
+};
+
+struct EndpointSettings {
+  std::size_t mSlots = 4;
+  std::size_t mQueue = 0;
+  std::chrono::microseconds mService{4000};
+};
+
+class Endpoint {
+ public:
+  Endpoint(asio::io_context& aContext, EndpointSettings aSettings)
+      : mContext(aContext), mSettings(aSettings) {}
+
+  void Take(const HttpExchangePtr& aExchange) {
+    const std::string path = PathOf(aExchange->Target());
+    if (path == "/standin/fault") {
+      SetFaults(aExchange);
+    } else if (path == "/standin/runs") {
+      AnswerRuns(aExchange);
+    } else {
+      TakeCall(aExchange);
+    }
+  }
+
+  void Closed(std::uint64_t aConnection) {
+    std::erase_if(mQueue, [&](const Waiting& aWaiting) {
+      return aWaiting.mExchange->ConnectionId() == aConnection;
+    });
+  }
+
+ private:
+  struct Waiting {
+    HttpExchangePtr mExchange;
+    SteadyClock::time_point mArrived;
+    SteadyClock::time_point mDeadline;
+  };
+
+  void TakeCall(const HttpExchangePtr& aExchange) {
+    const std::string target = aExchange->Target();
+    if (QueryNumber(target, "crash") == 1) {
+      // A server that dies takes its other calls with it.
+      _exit(1);
+    }
+    if (mFaults.mFailFast) {
+      Reply(aExchange, 500, "{}", "");
+      return;
+    }
+    const auto now = SteadyClock::now();
+    const std::uint64_t patience = std::strtoull(
+        aExchange->Header(header_names::kDeadline).value_or("60000").c_str(),
+        nullptr, 10);
+    Waiting waiting{aExchange, now, now + std::chrono::milliseconds(patience)};
+    if (mRunning < mSettings.mSlots) {
+      Run(waiting);
+    } else if (mQueue.size() < mSettings.mQueue) {
+      mQueue.push_back(std::move(waiting));
+    } else {
+      Reply(aExchange, 503, "{}", "not_run");
+    }
+  }
+
+  void Run(const Waiting& aWaiting) {
+    ++mRunning;
+    const std::string key =
+        aWaiting.mExchange->Header(header_names::kKey).value_or("");
+    if (!key.empty()) {
+      ++mRuns[key];
+    }
+    const std::uint64_t asked =
+        QueryNumber(aWaiting.mExchange->Target(), "work_us");
+    const auto work =
+        asked > 0 ? std::chrono::microseconds(asked) : mSettings.mService;
+    const auto slowed = std::chrono::duration_cast<std::chrono::microseconds>(
+        work * mFaults.mSlowdown);
+    auto timer = std::make_shared<asio::steady_timer>(mContext, slowed);
+    timer->async_wait(
+        [this, timer, aWaiting](asio::error_code) { Finish(aWaiting); });
+  }
+
+  void Finish(const Waiting& aWaiting) {
+    --mRunning;
+    while (!mQueue.empty() && mRunning < mSettings.mSlots) {
+      const Waiting next = mQueue.front();
+      mQueue.pop_front();
+      if (next.mDeadline < SteadyClock::now()) {
+        Reply(next.mExchange, 503, "{}", "not_run");
+      } else {
+        Run(next);
+      }
+    }
+    const HttpExchangePtr& exchange = aWaiting.mExchange;
+    const auto elapsed = std::chrono::duration_cast<std::chrono::microseconds>(
+        SteadyClock::now() - aWaiting.mArrived);
+    HttpReply reply;
+    reply.mBody = fmt::format("{} {}\n{}", exchange->Method(),
+                              exchange->Target(), exchange->Body());
+    reply.mContentType = "text/plain";
+    reply.mHeaders.emplace_back("standin-elapsed-us",
+                                fmt::format("{}", elapsed.count()));
+    AddLoad(reply);
+    exchange->Reply(reply);
+  }
+
+  void Reply(const HttpExchangePtr& aExchange, int aStatus,
+             const std::string& aBody, const std::string& aOutcome) {
+    HttpReply reply;
+    reply.mStatus = aStatus;
+    reply.mBody = aBody;
+    if (!aOutcome.empty()) {
+      reply.mHeaders.emplace_back(header_names::kOutcome, aOutcome);
+    }
+    AddLoad(reply);
+    aExchange->Reply(reply);
+  }
+
+  void AddLoad(HttpReply& aReply) const {
+    const auto told = [this](std::size_t aCount) {
+      return static_cast<unsigned>(static_cast<double>(aCount) * mFaults.mLie);
+    };
+    aReply.mHeaders.emplace_back(
+        header_names::kLoad,
+        fmt::format("running={} queued={} draining={}", told(mRunning),
+                    told(mQueue.size()), mFaults.mDraining ? 1 : 0));
+  }
+
+  void SetFaults(const HttpExchangePtr& aExchange) {
+    const Json body = Json::parse(aExchange->Body(), nullptr, false);
+    if (body.is_object()) {
+      mFaults.mDraining = body.value("draining", mFaults.mDraining);
+      mFaults.mSlowdown = body.value("slowdown", mFaults.mSlowdown);
+      mFaults.mLie = body.value("lie", mFaults.mLie);
+      mFaults.mFailFast = body.value("fail_fast", mFaults.mFailFast);
+    }
+    Reply(aExchange, 200, "{}", "");
+  }
+
+  void AnswerRuns(const HttpExchangePtr& aExchange) {
+    Json doubled = Json::array();
+    for (const auto& [key, count] : mRuns) {
+      if (count > 1) {
+        doubled.push_back(key);
+      }
+    }
+    Json keys = Json::array();
+    if (QueryNumber(aExchange->Target(), "keys") == 1) {
+      for (const auto& [key, count] : mRuns) {
+        keys.push_back(key);
+      }
+    }
+    Reply(aExchange, 200,
+          Json{{"runs", mRuns.size()}, {"doubled", doubled}, {"keys", keys}}
+              .dump(),
+          "");
+  }
+
+  asio::io_context& mContext;
+  EndpointSettings mSettings;
+  Faults mFaults;
+  std::size_t mRunning = 0;
+  std::deque<Waiting> mQueue;
+  std::map<std::string, std::uint64_t> mRuns;
+};
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-standin-endpoint",
+                           "stands in for an endpoint");
+  settings.Add("address", std::nullopt, "IP number and port to listen on",
+               CheckAddress);
+  settings.AddNumber("slots", 4, 1, 100'000, "calls run at the same time");
+  settings.AddNumber("queue", 0, 0, 100'000,
+                     "calls that may wait; more are shed");
+  settings.AddNumber("service-us", 4000, 0, 60'000'000,
+                     "time that one call takes, in microseconds");
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  const Address address = *ParseAddress(settings.Text("address"));
+  asio::io_context context(1);
+  Endpoint endpoint(
+      context, EndpointSettings{
+                   static_cast<std::size_t>(settings.Number("slots")),
+                   static_cast<std::size_t>(settings.Number("queue")),
+                   std::chrono::microseconds(settings.Number("service-us"))});
+  HttpServerSettings serverSettings;
+  serverSettings.mIp = address.mIp;
+  serverSettings.mPort = address.mPort;
+  HttpServer server(
+      context, serverSettings,
+      [&](const HttpExchangePtr& aExchange) { endpoint.Take(aExchange); },
+      [&](std::uint64_t aConnection) { endpoint.Closed(aConnection); });
+  if (!server.Start()) {
+    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
+    return kExitFailure;
+  }
+  context.run();
+  return kExitOk;
+}
--- /dev/null
+++ b/standins/platform_main.cpp
@@ -0,0 +1,188 @@
+// A stand-in for the platform's service: values with revisions that can be
+// read and watched, and faults that tests switch on.
+#include <fmt/format.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <list>
+#include <nlohmann/json.hpp>
+
+#include "core/config/address.h"
+#include "core/config/snapshot.h"
+#include "drivers/http_server.h"
+#include "drivers/log.h"
+#include "drivers/program_settings.h"
+#include "servers/query.h"
+
+namespace {
+
+using namespace papayawheel;
+using Json = nlohmann::json;
+
+constexpr std::string_view kValues = "/v1/values/";
+
+/** What the platform does wrong. */
+enum class Fault {
+  None,
+  /** Every call fails. */
+  Down,
+  /** Readers get the values as they were when the fault began. */
+  Stale,
+  /** Readers get no values at all, as if they had been published never. */
+  Lost,
+};
+
+class Platform {
+ public:
+  explicit Platform(asio::io_context& aContext) : mContext(aContext) {}
+
+  void Take(const HttpExchangePtr& aExchange) {
+    const std::string target = aExchange->Target();
+    const std::string path = PathOf(target);
+    const std::string method = aExchange->Method();
+    if (method == "GET" && path == "/v1/values") {
+      Read(aExchange, target);
+    } else if (method == "PUT" && path.starts_with(kValues)) {
+      Publish(path.substr(kValues.size()), aExchange);
+    } else if (method == "DELETE" && path.starts_with(kValues)) {
+      Remove(path.substr(kValues.size()), aExchange);
+    } else if (method == "GET" && path == "/v1/calls") {
+      Answer(aExchange, Json{{"calls", mCalls}}.dump());
+    } else if (method == "PUT" && path == "/v1/fault") {
+      SetFault(aExchange);
+    } else {
+      Answer(aExchange, "{}", 404);
+    }
+  }
+
+ private:
+  struct Watch {
+    HttpExchangePtr mExchange;
+    std::uint64_t mBase;
+    std::uint64_t mNewerThan;
+    std::unique_ptr<asio::steady_timer> mTimer;
+  };
+
+  static void Answer(const HttpExchangePtr& aExchange, std::string aBody,
+                     int aStatus = 200) {
+    HttpReply reply;
+    reply.mStatus = aStatus;
+    reply.mBody = std::move(aBody);
+    aExchange->Reply(reply);
+  }
+
+  [[nodiscard]] const Snapshot& Visible() const {
+    return mFault == Fault::None ? mCurrent : mFrozen;
+  }
+
+  void Read(const HttpExchangePtr& aExchange, const std::string& aTarget) {
+    ++mCalls;
+    if (mFault == Fault::Down) {
+      Answer(aExchange, "{}", 503);
+      return;
+    }
+    const std::uint64_t base = QueryNumber(aTarget, "base");
+    const std::uint64_t newerThan = QueryNumber(aTarget, "newer_than");
+    const std::uint64_t wait = QueryNumber(aTarget, "wait_ms");
+    if (wait == 0 || Visible().mRevision > newerThan) {
+      Answer(aExchange, WriteChanges(Visible(), base));
+      return;
+    }
+    mWatches.push_back(Watch{aExchange, base, newerThan,
+                             std::make_unique<asio::steady_timer>(mContext)});
+    const auto watch = std::prev(mWatches.end());
+    watch->mTimer->expires_after(std::chrono::milliseconds(wait));
+    watch->mTimer->async_wait([this, watch](asio::error_code aError) {
+      if (!aError) {
+        Answer(watch->mExchange, WriteChanges(Visible(), watch->mBase));
+        mWatches.erase(watch);
+      }
+    });
+  }
+
+  void Publish(const std::string& aKey, const HttpExchangePtr& aExchange) {
+    ++mCurrent.mRevision;
+    mCurrent.mDocuments[aKey] = Document{mCurrent.mRevision, aExchange->Body()};
+    mCurrent.mRemoved.erase(aKey);
+    Answer(aExchange, Json{{"revision", mCurrent.mRevision}}.dump());
+    WakeWatches();
+  }
+
+  void Remove(const std::string& aKey, const HttpExchangePtr& aExchange) {
+    if (mCurrent.mDocuments.erase(aKey) == 0) {
+      Answer(aExchange, "{}", 404);
+      return;
+    }
+    ++mCurrent.mRevision;
+    mCurrent.mRemoved[aKey] = mCurrent.mRevision;
+    Answer(aExchange, Json{{"revision", mCurrent.mRevision}}.dump());
+    WakeWatches();
+  }
+
+  void SetFault(const HttpExchangePtr& aExchange) {
+    const Json body = Json::parse(aExchange->Body(), nullptr, false);
+    const std::string mode =
+        body.is_object() ? body.value("mode", "none") : "none";
+    mFrozen = mode == "lost" ? Snapshot{} : Visible();
+    mFault = mode == "down"    ? Fault::Down
+             : mode == "stale" ? Fault::Stale
+             : mode == "lost"  ? Fault::Lost
+                               : Fault::None;
+    Answer(aExchange, Json{{"mode", mode}}.dump());
+    if (mFault == Fault::Down) {
+      for (Watch& watch : mWatches) {
+        Answer(watch.mExchange, "{}", 503);
+      }
+      mWatches.clear();
+    }
+    WakeWatches();
+  }
+
+  void WakeWatches() {
+    if (mFault == Fault::Down) {
+      return;
+    }
+    for (auto watch = mWatches.begin(); watch != mWatches.end();) {
+      if (Visible().mRevision <= watch->mNewerThan) {
+        ++watch;
+        continue;
+      }
+      Answer(watch->mExchange, WriteChanges(Visible(), watch->mBase));
+      watch = mWatches.erase(watch);
+    }
+  }
+
+  asio::io_context& mContext;
+  Snapshot mCurrent;
+  Snapshot mFrozen;
+  Fault mFault = Fault::None;
+  std::uint64_t mCalls = 0;
+  std::list<Watch> mWatches;
+};
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-standin-platform",
+                           "stands in for the platform's service");
+  settings.Add("address", std::nullopt, "IP number and port to listen on",
+               CheckAddress);
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  const Address address = *ParseAddress(settings.Text("address"));
+  asio::io_context context(1);
+  Platform platform(context);
+  HttpServerSettings serverSettings;
+  serverSettings.mIp = address.mIp;
+  serverSettings.mPort = address.mPort;
+  HttpServer server(
+      context, serverSettings,
+      [&](const HttpExchangePtr& aExchange) { platform.Take(aExchange); });
+  if (!server.Start()) {
+    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
+    return kExitFailure;
+  }
+  context.run();
+  return kExitOk;
+}
