Share ledger: contract held under any schedule of faults

Ruled out: waiting only for tokens (a bucket that starts empty is enough for the rate; concurrency needs the longest deadline on top). Change: a dead host is waited for until its calls must have ended; a host settles only when it keeps to the revision itself; a fresh process uses no share until a peer reports the revision settled or all report it obeyed, and counts no report asked for before older proofs have lapsed. Conclusion: shares follow without votes or stored state. Price: a restarted host uses its own share only 3.5 s plus the longest deadline after its start, and no share while it hears of no settled revision.

--- a/core/limits/share_ledger.cpp
+++ b/core/limits/share_ledger.cpp
@@ -35,9 +35,14 @@
 }
 
 void ShareLedger::HostReported(const std::string& aHost,
-                               std::uint64_t aObeyedRevision, TimePoint aNow) {
+                               const LedgerReport& aReport, TimePoint aAskedAt,
+                               TimePoint aNow) {
   mEvidence.Answered(aHost);
-  mObeyed[aHost] = aObeyedRevision;
+  // A host that still holds a proof of the previous process's death may move
+  // on to a later revision without waiting for this process.
+  if (aAskedAt >= ProofsLapsed()) {
+    mReports[aHost] = aReport;
+  }
   Tick(aNow);
 }
 
@@ -51,8 +56,9 @@
   if (mEpochs.empty()) {
     return;
   }
-  if (mEpochs.size() > 1 && HasSettled(aNow)) {
+  if (!IsSettled() && (HasSettled(aNow) || (mIsFresh && IsKnownSettled()))) {
     mEpochs.erase(mEpochs.begin(), mEpochs.end() - 1);
+    mIsFresh = false;
     RefreshOwnAccounts(aNow);
   }
   RefreshTakeovers(aNow);
@@ -125,18 +131,27 @@
   }
 }
 
-std::uint64_t ShareLedger::ObeyedRevision() const {
+LedgerReport ShareLedger::Report(TimePoint aNow) const {
+  LedgerReport report;
   if (mEpochs.empty()) {
-    return 0;
+    return report;
   }
-  for (const auto& [key, account] : mAccounts) {
-    if (account.mInFlight > account.mLimit.mConcurrency) {
-      // Calls admitted under an older revision still run above the new limit.
-      return mEpochs.size() == 1 ? 0
-                                 : mEpochs.front().mConfiguration->mRevision;
-    }
+  const std::uint64_t current = Current().mConfiguration->mRevision;
+  report.mObeyedRevision = ObeysCurrent(aNow) ? current : 0;
+  report.mSettledRevision = IsSettled() ? current : 0;
+  return report;
+}
+
+bool ShareLedger::ObeysCurrent(TimePoint aNow) const {
+  // Calls of an earlier process on this host may still run.
+  if (aNow - mStartedAt < Current().mConfiguration->LongestDeadline()) {
+    return false;
   }
-  return Current().mConfiguration->mRevision;
+  // Calls admitted under an older revision may run above the new limit.
+  return std::all_of(
+      mAccounts.begin(), mAccounts.end(), [](const auto& aEntry) {
+        return aEntry.second.mInFlight <= aEntry.second.mLimit.mConcurrency;
+      });
 }
 
 const ShareSplit* ShareLedger::SplitOf(const std::string& aCustomer) const {
@@ -154,7 +169,7 @@
 Share ShareLedger::ShareInForce(const std::string& aCustomer,
                                 const std::string& aOwner) const {
   const ShareSplit* const current = SplitOf(aCustomer);
-  if (current == nullptr) {
+  if (current == nullptr || mIsFresh) {
     return {};
   }
   Share share = current->ShareOf(aOwner);
@@ -179,8 +194,7 @@
   const Configuration& configuration = *Current().mConfiguration;
   // A predecessor's calls, or a successor's calls on this share, may run until
   // the longest deadline after the successor's last proof has lapsed.
-  const TimePoint opensAt = mStartedAt + kRefusalLease + kClockMargin +
-                            configuration.LongestDeadline();
+  const TimePoint opensAt = ProofsLapsed() + configuration.LongestDeadline();
   std::set<std::string> customers;
   for (const auto& [key, account] : mAccounts) {
     if (key.second == mHost) {
@@ -215,7 +229,14 @@
   }
 }
 
+TimePoint ShareLedger::ProofsLapsed() const {
+  return mStartedAt + kRefusalLease + kClockMargin;
+}
+
 bool ShareLedger::HasSettled(TimePoint aNow) const {
+  if (!ObeysCurrent(aNow)) {
+    return false;
+  }
   const std::uint64_t current = Current().mConfiguration->mRevision;
   for (const Epoch& epoch : mEpochs) {
     for (const auto& [name, host] : epoch.mConfiguration->mHosts) {
@@ -224,8 +245,9 @@
       }
       // A host at a later revision may never have obeyed this one, so only an
       // equal report counts.
-      const auto obeyed = mObeyed.find(name);
-      if (obeyed == mObeyed.end() || obeyed->second != current) {
+      const auto report = mReports.find(name);
+      if (report == mReports.end() ||
+          report->second.mObeyedRevision != current) {
         return false;
       }
     }
@@ -233,12 +255,26 @@
   return true;
 }
 
+bool ShareLedger::IsKnownSettled() const {
+  // Whoever has settled on a revision knows that every host keeps it until it
+  // hears of a later one from all, this host included.
+  const std::uint64_t current = Current().mConfiguration->mRevision;
+  return std::any_of(mReports.begin(), mReports.end(),
+                     [current](const auto& aEntry) {
+                       return aEntry.second.mSettledRevision == current;
+                     });
+}
+
 bool ShareLedger::IsWaitedFor(const std::string& aHost, TimePoint aNow) const {
-  if (mEvidence.IsDead(aHost, aNow)) {
+  const Duration deadline = Current().mConfiguration->LongestDeadline();
+  // The calls of a dead process may run until their deadline.
+  const auto deadSince = mEvidence.DeadSince(aHost, aNow);
+  if (deadSince && aNow - *deadSince >= deadline) {
     return false;
   }
   const bool removed = !Current().mConfiguration->mHosts.contains(aHost);
-  return !removed || aNow - Current().mAppliedAt < kRemovedHostWait;
+  return !removed || aNow - Current().mAppliedAt <
+                         std::max<Duration>(kRemovedHostWait, deadline);
 }
 
 void ShareLedger::RefreshTakeovers(TimePoint aNow) {
--- a/core/limits/share_ledger.h
+++ b/core/limits/share_ledger.h
@@ -37,13 +37,26 @@
   Duration mRetryAfter{0};
 };
 
+/** What one ledger tells the others. */
+struct LedgerReport {
+  /** The revision whose shares the host keeps to in every respect; 0 while
+   * calls admitted under others may still run. */
+  std::uint64_t mObeyedRevision = 0;
+  /** The revision that the host knows every host to obey; 0 if none. */
+  std::uint64_t mSettledRevision = 0;
+
+  bool operator==(const LedgerReport&) const = default;
+};
+
 /** Decides which calls this host may admit, so that all hosts together never
  * admit more than a contract, without asking anybody.
  *
  * A contract is split over the published hosts. After a change of the split
  * each host uses the smaller of its old and new shares until every other host
- * has reported that it obeys the new revision. A share whose host is proved
- * dead by refused connections is used by exactly one successor. */
+ * has reported that it obeys the new revision. A process that has just started
+ * does not know the old shares, so it uses none until it hears that the
+ * revision in force is settled. A share whose host is proved dead by refused
+ * connections is used by exactly one successor. */
 class ShareLedger {
  public:
   ShareLedger(std::string aHost, TimePoint aNow);
@@ -52,10 +65,11 @@
   void Apply(std::shared_ptr<const Configuration> aConfiguration,
              TimePoint aNow);
 
-  /** Another host answered and reported the revision that it obeys. Reports
-   * must arrive in the order in which they were asked for. */
-  void HostReported(const std::string& aHost, std::uint64_t aObeyedRevision,
-                    TimePoint aNow);
+  /** Another host answered and reported its state. Reports must arrive in the
+   * order in which they were asked for.
+   * @param aAskedAt when the report was asked for. */
+  void HostReported(const std::string& aHost, const LedgerReport& aReport,
+                    TimePoint aAskedAt, TimePoint aNow);
 
   /** Another host refused a connection that was tried at the given time. */
   void HostRefused(const std::string& aHost, TimePoint aTriedAt,
@@ -75,12 +89,13 @@
    * token is spared as well. */
   void Cancel(const Grant& aGrant, TimePoint aNow);
 
-  /** The revision whose shares this host keeps to in every respect; reported
-   * to the other hosts. */
-  [[nodiscard]] std::uint64_t ObeyedRevision() const;
+  /** What to report to the other hosts. */
+  [[nodiscard]] LedgerReport Report(TimePoint aNow) const;
 
   /** Whether every host is known to obey the revision in force here. */
-  [[nodiscard]] bool IsSettled() const { return mEpochs.size() == 1; }
+  [[nodiscard]] bool IsSettled() const {
+    return mEpochs.size() == 1 && !mIsFresh;
+  }
 
   /** The split of a customer's contract in force; nothing without contract. */
   [[nodiscard]] const ShareSplit* SplitOf(const std::string& aCustomer) const;
@@ -117,8 +132,11 @@
   void RefreshOwnAccounts(TimePoint aNow);
   void SetAccount(const std::string& aCustomer, const std::string& aOwner,
                   const Share& aLimit, TimePoint aOpensAt, TimePoint aNow);
-  bool HasSettled(TimePoint aNow) const;
-  bool IsWaitedFor(const std::string& aHost, TimePoint aNow) const;
+  [[nodiscard]] bool HasSettled(TimePoint aNow) const;
+  [[nodiscard]] bool IsKnownSettled() const;
+  [[nodiscard]] bool ObeysCurrent(TimePoint aNow) const;
+  [[nodiscard]] bool IsWaitedFor(const std::string& aHost,
+                                 TimePoint aNow) const;
   void RefreshTakeovers(TimePoint aNow);
   void TakeOver(const std::string& aDeadHost, TimePoint aNow);
   void EndTakeovers(TimePoint aNow);
@@ -127,10 +145,15 @@
   Admission AdmitFrom(Account& aAccount, const Grant& aGrant, TimePoint aNow);
   [[nodiscard]] const Epoch& Current() const { return mEpochs.back(); }
 
+  /** Until this time other hosts may hold proofs that this host is dead. */
+  [[nodiscard]] TimePoint ProofsLapsed() const;
+
   std::string mHost;
   TimePoint mStartedAt;
   std::vector<Epoch> mEpochs;
-  std::map<std::string, std::uint64_t> mObeyed;
+  /** No revision has been settled since the process started. */
+  bool mIsFresh = true;
+  std::map<std::string, LedgerReport> mReports;
   RefusalEvidence mEvidence;
   /** Keyed by customer and owner of the share. */
   std::map<AccountKey, Account> mAccounts;
--- a/core/membership/heartbeat.cpp
+++ b/core/membership/heartbeat.cpp
@@ -11,7 +11,8 @@
               {"incarnation", aHeartbeat.mIncarnation},
               {"uptime_ms", aHeartbeat.mUptime.count()},
               {"revision", aHeartbeat.mRevision},
-              {"obeyed", aHeartbeat.mObeyedRevision},
+              {"obeyed", aHeartbeat.mLedger.mObeyedRevision},
+              {"settled", aHeartbeat.mLedger.mSettledRevision},
               {"ready", aHeartbeat.mReady},
               {"leaving", aHeartbeat.mLeaving},
               {"in_flight", aHeartbeat.mInFlight}}
@@ -30,7 +31,9 @@
     heartbeat.mUptime =
         std::chrono::milliseconds(value.at("uptime_ms").get<std::int64_t>());
     heartbeat.mRevision = value.at("revision").get<std::uint64_t>();
-    heartbeat.mObeyedRevision = value.at("obeyed").get<std::uint64_t>();
+    heartbeat.mLedger.mObeyedRevision = value.at("obeyed").get<std::uint64_t>();
+    heartbeat.mLedger.mSettledRevision =
+        value.at("settled").get<std::uint64_t>();
     heartbeat.mReady = value.at("ready").get<bool>();
     heartbeat.mLeaving = value.at("leaving").get<bool>();
     heartbeat.mInFlight = value.at("in_flight").get<std::uint32_t>();
--- a/core/membership/heartbeat.h
+++ b/core/membership/heartbeat.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "core/limits/share_ledger.h"
+
 namespace papayawheel {
 
 /** What a host says of itself. It is sent as a request and answered with the
@@ -16,8 +18,8 @@
   std::chrono::milliseconds mUptime{0};
   /** Revision of the configuration in force. */
   std::uint64_t mRevision = 0;
-  /** Revision whose shares the host keeps to. */
-  std::uint64_t mObeyedRevision = 0;
+  /** What its share ledger reports. */
+  LedgerReport mLedger;
   /** Whether the host serves calls. */
   bool mReady = false;
   /** Whether the host is about to stop. */
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -207,10 +207,11 @@
 
   void Prepare(Transfer& aTransfer, const HttpCall& aCall) {
     CURL* const handle = aTransfer.mHandle;
-    const std::string url = "http://" + aCall.mAddress + aCall.mTarget;
+    const std::string url =
+        fmt::format("http://{}{}", aCall.mAddress, aCall.mTarget);
     for (const auto& [name, value] : aCall.mHeaders) {
-      aTransfer.mHeaders =
-          curl_slist_append(aTransfer.mHeaders, (name + ": " + value).c_str());
+      const std::string line = fmt::format("{}: {}", name, value);
+      aTransfer.mHeaders = curl_slist_append(aTransfer.mHeaders, line.c_str());
     }
     // Keeps the library from waiting for a "100 Continue".
     aTransfer.mHeaders = curl_slist_append(aTransfer.mHeaders, "Expect:");
--- a/misc/run_tests.sh
+++ b/misc/run_tests.sh
@@ -4,7 +4,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 # The seed of every property is fixed, so a run gives the same verdict.
-export RC_PARAMS="seed=20261204 max_success=1000"
+export RC_PARAMS="seed=20261204 max_success=5000"
 passed=0
 failed=0
 note() {
--- a/servers/control_worker.cpp
+++ b/servers/control_worker.cpp
@@ -173,7 +173,7 @@
         answer && (aAction.mHost.empty() || aAction.mHost == answer->mHost);
     if (expected) {
       mState.WithEngine([&](CallEngine& aEngine) {
-        aEngine.Ledger().HostReported(answer->mHost, answer->mObeyedRevision,
+        aEngine.Ledger().HostReported(answer->mHost, answer->mLedger, sentAt,
                                       now);
       });
       Perform(mEngine.HeartbeatAnswered(aAction, *answer, sentAt, now));
@@ -262,7 +262,7 @@
   heartbeat.mLeaving = mState.IsLeaving();
   const TimePoint now = Now();
   mState.WithEngine([&](CallEngine& aEngine) {
-    heartbeat.mObeyedRevision = aEngine.Ledger().ObeyedRevision();
+    heartbeat.mLedger = aEngine.Ledger().Report(now);
     heartbeat.mReady = aEngine.IsReady(now);
     heartbeat.mInFlight = static_cast<std::uint32_t>(aEngine.InFlight());
   });
--- /dev/null
+++ b/tests/sample_configuration.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "core/config/configuration.h"
+
+namespace papayawheel {
+
+inline std::string SampleHostName(std::size_t aIndex) {
+  return "h" + std::to_string(aIndex);
+}
+
+/** Hosts h0, h1, ... in three data centres, endpoints e0, e1, ... of one
+ * service "orders", and one customer "roofers". */
+inline Configuration SampleConfiguration(std::size_t aHosts,
+                                         std::size_t aEndpoints,
+                                         const Contract& aContract,
+                                         std::uint64_t aRevision = 1) {
+  Configuration configuration;
+  configuration.mRevision = aRevision;
+  for (std::size_t index = 0; index < aHosts; ++index) {
+    const std::string name = SampleHostName(index);
+    configuration.mHosts[name] =
+        Host{name, "10.0.0.1:" + std::to_string(1000 + index),
+             "dc" + std::to_string(index % 3), NodeState::Live};
+  }
+  Service service;
+  service.mName = "orders";
+  service.mSlotsPerEndpoint = 4;
+  service.mLongestDeadline = std::chrono::milliseconds(1000);
+  for (std::size_t index = 0; index < aEndpoints; ++index) {
+    const std::string name = "e" + std::to_string(index);
+    service.mEndpoints.push_back(
+        Endpoint{name, "10.0.1.1:" + std::to_string(2000 + index),
+                 "dc" + std::to_string(index % 3), NodeState::Live});
+  }
+  configuration.mServices["orders"] = service;
+  configuration.mContracts[aContract.mCustomer] = aContract;
+  return configuration;
+}
+
+inline Contract SampleContract(double aRate = 100, std::uint32_t aBurst = 20,
+                               std::uint32_t aConcurrency = 10) {
+  return Contract{"roofers", aRate, aBurst, aConcurrency, 2, {"orders"}};
+}
+
+inline std::shared_ptr<const Configuration> ShareConfiguration(
+    const Configuration& aConfiguration) {
+  return std::make_shared<const Configuration>(aConfiguration);
+}
+
+}  // namespace papayawheel
