Requests run at most once, outcomes are true, crashing requests stop

Change: after one crash, requests of that kind run one at a time over all hosts, on the host that rendezvous hashing of the fingerprint names; the others wait there. An answer clears the suspicion and is told to all hosts. Not covered: copies of a crashing request that are sent at the same moment through several hosts each run before the first report; the bound is one endpoint a host then.

--- a/core/entry/call.cpp
+++ b/core/entry/call.cpp
@@ -10,13 +10,15 @@
       return "key_owner";
     case HopReason::Rights:
       return "rights";
+    case HopReason::Suspect:
+      return "suspect";
   }
   return "none";
 }
 
 std::optional<HopReason> HopReasonNamed(std::string_view aName) {
-  for (HopReason reason :
-       {HopReason::None, HopReason::KeyOwner, HopReason::Rights}) {
+  for (HopReason reason : {HopReason::None, HopReason::KeyOwner,
+                           HopReason::Rights, HopReason::Suspect}) {
     if (HopReasonName(reason) == aName) {
       return reason;
     }
--- a/core/entry/call.h
+++ b/core/entry/call.h
@@ -27,6 +27,10 @@
   /** The other host has rights of the contract left. The sender keeps the
    * record of the key. */
   Rights,
+  /** The other host runs requests of this kind one at a time, because one of
+   * them was lost with its endpoint. The sender keeps the record of the key
+   * and has admitted the call. */
+  Suspect,
 };
 
 /** The word of a reason in the `papayawheel-hop` header. */
--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/base/rendezvous.h"
 #include "core/entry/call_engine.h"
 
 namespace papayawheel {
@@ -61,13 +62,7 @@
       continue;
     }
     aCall.mTriedHosts.push_back(home);
-    aCall.mState = CallState::AtHost;
-    aCall.mTarget = home;
-    ++mCounts.mPassedOn;
-    aActions.emplace_back(SendToHostAction{
-        aId, home, mConfiguration->mHosts.at(home).mAddress,
-        std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow),
-        HopReason::Rights});
+    PassTo(aId, aCall, home, HopReason::Rights, aNow, aActions);
     return true;
   }
   return false;
@@ -75,6 +70,9 @@
 
 void CallEngine::Dispatch(CallId aId, Call& aCall, TimePoint aNow,
                           CallActions& aActions) {
+  if (HoldSuspect(aId, aCall, aNow, aActions)) {
+    return;
+  }
   ServiceState& service = mServices.at(aCall.mRequest.mService);
   if (aCall.mAttempts == 0) {
     service.mRetries.NoteCall();
@@ -88,6 +86,59 @@
   Wait(aId, aCall, aNow, aActions);
 }
 
+bool CallEngine::HoldSuspect(CallId aId, Call& aCall, TimePoint aNow,
+                             CallActions& aActions) {
+  if (!mCrashGuard.IsSuspect(aCall.mFingerprint, aNow)) {
+    return false;
+  }
+  std::vector<std::string> hosts;
+  for (const auto& [name, host] : mConfiguration->mHosts) {
+    if (host.mState == NodeState::Live) {
+      hosts.push_back(name);
+    }
+  }
+  const std::vector<std::string> ranked =
+      RankByRendezvous(fmt::format("{:x}", aCall.mFingerprint), hosts);
+  const bool isMine = aCall.mRequest.mHop == HopReason::Suspect ||
+                      ranked.empty() || ranked.front() == mIdentity.mName;
+  if (!isMine) {
+    PassTo(aId, aCall, ranked.front(), HopReason::Suspect, aNow, aActions);
+    return true;
+  }
+  Trial& trial = mTrials[aCall.mFingerprint];
+  if (trial.mRunning == 0 || trial.mRunning == aId) {
+    trial.mRunning = aId;
+    return false;
+  }
+  aCall.mState = CallState::Waiting;
+  trial.mWaiting.push_back(aId);
+  return true;
+}
+
+void CallEngine::EndTrial(CallId aId, std::uint64_t aFingerprint,
+                          TimePoint aNow, CallActions& aActions) {
+  const auto found = mTrials.find(aFingerprint);
+  if (found == mTrials.end() || found->second.mRunning != aId) {
+    return;
+  }
+  const std::vector<CallId> waiting = std::move(found->second.mWaiting);
+  mTrials.erase(found);
+  for (const CallId id : waiting) {
+    const auto call = mCalls.find(id);
+    if (call == mCalls.end()) {
+      continue;
+    }
+    const Duration quarantine = mCrashGuard.Remaining(aFingerprint, aNow);
+    if (quarantine > Duration::zero()) {
+      Fail(id, ErrorKind::Quarantined, quarantine, aActions);
+    } else if (call->second.mDeadline <= aNow) {
+      Fail(id, ErrorKind::DeadlinePassed, Duration::zero(), aActions);
+    } else {
+      Dispatch(id, call->second, aNow, aActions);
+    }
+  }
+}
+
 void CallEngine::SendTo(CallId aId, Call& aCall, const std::string& aEndpoint,
                         TimePoint aNow, CallActions& aActions) {
   EndpointBook& book = mServices.at(aCall.mRequest.mService).mBook;
@@ -162,7 +213,10 @@
   service.mLastAnswer = aNow;
   switch (aReply.mResult) {
     case EndpointResult::Answered:
-      mCrashGuard.NoteAnswered(call.mFingerprint);
+      if (mCrashGuard.NoteAnswered(call.mFingerprint)) {
+        mCrashReports.push_back(
+            CrashReport{call.mFingerprint, call.mTarget, true});
+      }
       Succeed(aId, aReply.mResponse, actions);
       break;
     case EndpointResult::Shed:
@@ -208,8 +262,8 @@
 }
 
 void CallEngine::NoteCrash(const Call& aCall, TimePoint aNow) {
-  CrashReport report{aCall.mFingerprint, aCall.mTarget};
-  if (mCrashGuard.NoteCrash(report, aNow)) {
+  CrashReport report{aCall.mFingerprint, aCall.mTarget, false};
+  if (mCrashGuard.Note(report, aNow)) {
     mQuarantineEvents.push_back(fmt::format(
         "started for request {:016x} of customer \"{}\" after endpoint \"{}\" "
         "was lost",
--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -12,7 +12,11 @@
 namespace {
 
 constexpr std::chrono::milliseconds kNotReadyRetry{200};
+
+/** Patience of a caller who did not say, until the service is known. */
+constexpr std::chrono::milliseconds kDefaultPatience{1000};
 constexpr std::chrono::milliseconds kTooManyKeysRetry{1000};
+constexpr std::chrono::milliseconds kSuspectRetry{1000};
 
 /** Methods that may be repeated without harm. */
 constexpr std::array<std::string_view, 4> kIdempotentMethods = {
@@ -80,32 +84,33 @@
   CallActions actions;
   mNow = aNow;
   ++mCounts.mArrived;
-  if (const auto error = CheckRequest(aRequest, aNow)) {
-    CountError(aRequest.mCustomer, *error);
-    actions.emplace_back(
-        AnswerAction{aId, nullptr, *error, RetryAfterOf(*error)});
-    return actions;
-  }
-  const Contract& contract = mConfiguration->mContracts.at(aRequest.mCustomer);
-  const Service& service = mConfiguration->mServices.at(aRequest.mService);
-  const Duration longest = service.mLongestDeadline;
-  Call call;
+  Call& call = mCalls[aId];
   call.mRequest = aRequest;
-  call.mDeadline =
-      aNow + std::min(aRequest.mPatience.value_or(longest), longest);
+  call.mDeadline = aNow + aRequest.mPatience.value_or(kDefaultPatience);
   call.mFingerprint = FingerprintOf(aRequest);
-  call.mPriority = contract.mPriority;
   call.mIdempotent = IsIdempotent(aRequest.mMethod);
-  Call& stored = mCalls.emplace(aId, std::move(call)).first->second;
-  if (HandleKey(aId, stored, aNow, actions)) {
+  // The key goes first: only its owner can tell whether the request was run,
+  // and what the owner refuses must stay refused.
+  if (HandleKey(aId, call, aNow, actions)) {
     return actions;
   }
-  const Duration quarantine = mCrashGuard.Remaining(stored.mFingerprint, aNow);
+  if (const auto error = CheckRequest(aRequest, aNow)) {
+    Fail(aId, *error, RetryAfterOf(*error), actions);
+    return actions;
+  }
+  const Duration longest =
+      mConfiguration->mServices.at(aRequest.mService).mLongestDeadline;
+  call.mDeadline =
+      aNow + std::min(aRequest.mPatience.value_or(longest), longest);
+  call.mPriority = mConfiguration->mContracts.at(aRequest.mCustomer).mPriority;
+  const Duration quarantine = mCrashGuard.Remaining(call.mFingerprint, aNow);
   if (quarantine > Duration::zero()) {
     Fail(aId, ErrorKind::Quarantined, quarantine, actions);
-    return actions;
+  } else if (aRequest.mHop == HopReason::Suspect) {
+    Dispatch(aId, call, aNow, actions);
+  } else {
+    Admit(aId, call, aNow, actions);
   }
-  Admit(aId, stored, aNow, actions);
   return actions;
 }
 
@@ -129,13 +134,10 @@
   if (aRequest.mPatience && *aRequest.mPatience <= Duration::zero()) {
     return ErrorKind::DeadlinePassed;
   }
-  if (aRequest.mKey.empty()) {
-    const bool needsKey =
-        !IsIdempotent(aRequest.mMethod) && aRequest.mHop != HopReason::Rights;
-    return needsKey ? std::optional(ErrorKind::KeyMissing) : std::nullopt;
-  }
-  if (!ParseRequestKey(aRequest.mKey)) {
-    return ErrorKind::KeyMalformed;
+  const bool needsKey =
+      !IsIdempotent(aRequest.mMethod) && aRequest.mHop == HopReason::None;
+  if (needsKey && aRequest.mKey.empty()) {
+    return ErrorKind::KeyMissing;
   }
   return std::nullopt;
 }
@@ -146,12 +148,16 @@
   if (aCall.mRequest.mKey.empty() || aCall.mRequest.mHop == HopReason::Rights) {
     return false;
   }
-  const RequestKey key = *ParseRequestKey(aCall.mRequest.mKey);
-  if (key.mHost != mIdentity.mName) {
-    PassToKeyOwner(aId, aCall, key, aNow, aActions);
+  const auto key = ParseRequestKey(aCall.mRequest.mKey);
+  if (!key) {
+    Fail(aId, ErrorKind::KeyMalformed, Duration::zero(), aActions);
+    return true;
+  }
+  if (key->mHost != mIdentity.mName) {
+    PassToKeyOwner(aId, aCall, *key, aNow, aActions);
     return true;
   }
-  const KeyDecision decision = mOutcomes.Begin(aCall.mRequest.mKey, key, aNow);
+  const KeyDecision decision = mOutcomes.Begin(aCall.mRequest.mKey, *key, aNow);
   if (decision.mVerdict == KeyVerdict::Run) {
     aCall.mOwnsKey = true;
     return false;
@@ -186,13 +192,18 @@
     Fail(aId, ErrorKind::KeyOwnerGone, Duration::zero(), aActions);
     return;
   }
+  PassTo(aId, aCall, aKey.mHost, HopReason::KeyOwner, aNow, aActions);
+}
+
+void CallEngine::PassTo(CallId aId, Call& aCall, const std::string& aHost,
+                        HopReason aHop, TimePoint aNow, CallActions& aActions) {
   ++mCounts.mPassedOn;
   aCall.mState = CallState::AtHost;
-  aCall.mTarget = aKey.mHost;
+  aCall.mTarget = aHost;
+  aCall.mPassedFor = aHop;
   aActions.emplace_back(SendToHostAction{
-      aId, aKey.mHost, owner->second.mAddress,
-      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow),
-      HopReason::KeyOwner});
+      aId, aHost, mConfiguration->mHosts.at(aHost).mAddress,
+      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow), aHop});
 }
 
 CallActions CallEngine::HostReplied(CallId aId, const HostReply& aReply,
@@ -204,9 +215,13 @@
     return actions;
   }
   Call& call = found->second;
-  const bool toKeyOwner = !call.mOwnsKey && !call.mRequest.mKey.empty();
   using Result = HostReply::Result;
-  if (aReply.mResult != Result::Answered && toKeyOwner) {
+  const HopReason hop = call.mPassedFor;
+  if (aReply.mResult == Result::Answered && aReply.mResponse != nullptr) {
+    Succeed(aId, aReply.mResponse, actions);
+    return actions;
+  }
+  if (aReply.mResult != Result::Answered && hop == HopReason::KeyOwner) {
     const bool gone = aReply.mResult == Result::Refused;
     Fail(aId, gone ? ErrorKind::KeyOwnerGone : ErrorKind::KeyOwnerUnreachable,
          Duration::zero(), actions);
@@ -218,19 +233,20 @@
   }
   if (aReply.mResult == Result::Lost) {
     call.mMayHaveRun = true;
-    if (!call.mIdempotent) {
+    if (!call.mIdempotent || hop == HopReason::Suspect) {
       Fail(aId, ErrorKind::EndpointLost, Duration::zero(), actions);
       return actions;
     }
   }
-  if (aReply.mResult == Result::Answered && aReply.mResponse != nullptr) {
-    Succeed(aId, aReply.mResponse, actions);
+  if (aReply.mResult != Result::Answered && hop == HopReason::Suspect) {
+    Fail(aId, ErrorKind::Quarantined, kSuspectRetry, actions);
     return actions;
   }
   const bool exhausted = aReply.mError == ErrorKind::OverRate ||
                          aReply.mError == ErrorKind::OverConcurrency ||
                          aReply.mError == ErrorKind::HostNotReady;
-  if (aReply.mResult == Result::Answered && (toKeyOwner || !exhausted)) {
+  if (aReply.mResult == Result::Answered &&
+      (hop != HopReason::Rights || !exhausted)) {
     const ErrorKind fallback = aReply.mOutcome == Outcome::NotRun
                                    ? ErrorKind::NeverSent
                                    : ErrorKind::EndpointLost;
@@ -306,7 +322,7 @@
 }
 
 void CallEngine::NoteRemoteCrash(const CrashReport& aReport, TimePoint aNow) {
-  if (mCrashGuard.NoteCrash(aReport, aNow)) {
+  if (mCrashGuard.Note(aReport, aNow)) {
     mQuarantineEvents.push_back(
         fmt::format("started for request {:016x}, told by another host",
                     aReport.mFingerprint));
@@ -336,10 +352,12 @@
   if (call.mGrant) {
     mLedger.Release(*call.mGrant);
   }
+  const std::uint64_t fingerprint = call.mFingerprint;
   mCalls.erase(found);
   ++mCounts.mAnswered;
   aActions.emplace_back(AnswerAction{aId, std::move(aResponse),
                                      ErrorKind::BadRequest, Duration::zero()});
+  EndTrial(aId, fingerprint, mNow, aActions);
 }
 
 void CallEngine::Fail(CallId aId, ErrorKind aError, Duration aRetryAfter,
@@ -356,8 +374,10 @@
     mLedger.Release(*call.mGrant);
   }
   CountError(call.mRequest.mCustomer, error);
+  const std::uint64_t fingerprint = call.mFingerprint;
   mCalls.erase(found);
   aActions.emplace_back(AnswerAction{aId, nullptr, error, aRetryAfter});
+  EndTrial(aId, fingerprint, mNow, aActions);
 }
 
 void CallEngine::CountError(const std::string& aCustomer, ErrorKind aError) {
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -92,7 +92,7 @@
   [[nodiscard]] KeyDecision FindOutcome(const std::string& aKeyText,
                                         TimePoint aNow) const;
 
-  /** Another host saw an endpoint crash. */
+  /** Another host saw an endpoint crash or a suspect answered. */
   void NoteRemoteCrash(const CrashReport& aReport, TimePoint aNow);
 
   /** Crashes seen here since the last call, to be told to the other hosts. */
@@ -128,11 +128,19 @@
     std::uint32_t mAttempts = 0;
     std::vector<std::string> mTriedEndpoints;
     std::vector<std::string> mTriedHosts;
+    /** Why the call was last passed to another host. */
+    HopReason mPassedFor = HopReason::None;
     /** An earlier attempt broke off after the send, so the call can no longer
      * be called not run. */
     bool mMayHaveRun = false;
   };
 
+  /** Requests of one suspect kind, which run one at a time. */
+  struct Trial {
+    CallId mRunning = 0;
+    std::vector<CallId> mWaiting;
+  };
+
   struct ServiceState {
     EndpointBook mBook;
     DispatchQueue mQueue;
@@ -155,6 +163,14 @@
   bool PassToHome(CallId aId, Call& aCall, TimePoint aNow,
                   CallActions& aActions);
   void Dispatch(CallId aId, Call& aCall, TimePoint aNow, CallActions& aActions);
+  /** Handles a call of a suspect kind; true if it must not be sent now. */
+  bool HoldSuspect(CallId aId, Call& aCall, TimePoint aNow,
+                   CallActions& aActions);
+  /** Ends the trial that a call ran, if any, and lets the next one run. */
+  void EndTrial(CallId aId, std::uint64_t aFingerprint, TimePoint aNow,
+                CallActions& aActions);
+  void PassTo(CallId aId, Call& aCall, const std::string& aHost, HopReason aHop,
+              TimePoint aNow, CallActions& aActions);
   void SendTo(CallId aId, Call& aCall, const std::string& aEndpoint,
               TimePoint aNow, CallActions& aActions);
   void Wait(CallId aId, Call& aCall, TimePoint aNow, CallActions& aActions);
@@ -177,6 +193,8 @@
   CrashGuard mCrashGuard;
   std::map<std::string, ServiceState> mServices;
   std::unordered_map<CallId, Call> mCalls;
+  /** By fingerprint. */
+  std::unordered_map<std::uint64_t, Trial> mTrials;
   std::vector<CrashReport> mCrashReports;
   std::vector<std::string> mQuarantineEvents;
   /** Hosts that lately had no rights of a customer left, until when. */
--- a/core/outcome/outcome_table.cpp
+++ b/core/outcome/outcome_table.cpp
@@ -1,5 +1,6 @@
 #include "core/outcome/outcome_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace papayawheel {
@@ -20,6 +21,8 @@
   if (mRecords.size() >= mLimits.mMaxKeys) {
     decision.mVerdict = KeyVerdict::Refused;
     decision.mError = ErrorKind::TooManyKeys;
+    // The key is told to be not run, so it must not run later either.
+    mRefusedUpTo = std::max(mRefusedUpTo, aKey.mMintedAt);
     return decision;
   }
   mRecords.emplace(aKeyText, KeyRecord{});
@@ -103,7 +106,8 @@
   // A prefix handed out by another host may be dated a little ahead; a date
   // far ahead would outlive the record of an earlier use.
   const TimePoint mintedAt = mStartedAt + aKey.mMintedAt;
-  return aNow < mintedAt + kKeyUseTime && mintedAt <= aNow + kKeyUseTime;
+  return aKey.mMintedAt > mRefusedUpTo && aNow < mintedAt + kKeyUseTime &&
+         mintedAt <= aNow + kKeyUseTime;
 }
 
 }  // namespace papayawheel
--- a/core/outcome/outcome_table.h
+++ b/core/outcome/outcome_table.h
@@ -105,6 +105,9 @@
   std::unordered_map<std::string, KeyRecord> mRecords;
   std::deque<Expiry> mExpiries;
   std::size_t mBytes = 0;
+  /** Unused keys handed out at or before this time, since the start of the
+   * process, are refused for good. */
+  std::chrono::seconds mRefusedUpTo{-1};
 };
 
 }  // namespace papayawheel
--- a/core/routing/crash_guard.cpp
+++ b/core/routing/crash_guard.cpp
@@ -2,28 +2,41 @@
 
 namespace papayawheel {
 
-bool CrashGuard::NoteCrash(const CrashReport& aReport, TimePoint aNow) {
+bool CrashGuard::Note(const CrashReport& aReport, TimePoint aNow) {
+  if (aReport.mCleared) {
+    NoteAnswered(aReport.mFingerprint);
+    return false;
+  }
   Suspect& suspect = mSuspects[aReport.mFingerprint];
-  const bool added = suspect.mEndpoints.insert(aReport.mEndpoint).second;
-  if (added) {
-    suspect.mExpires = aNow + kQuarantineTime;
+  if (suspect.mExpires <= aNow) {
+    suspect.mCrashes = 0;
   }
-  return added && suspect.mEndpoints.size() == kCrashesToQuarantine;
+  suspect.mExpires = aNow + kQuarantineTime;
+  ++suspect.mCrashes;
+  return suspect.mCrashes == kCrashesToQuarantine;
 }
 
-void CrashGuard::NoteAnswered(std::uint64_t aFingerprint) {
+bool CrashGuard::NoteAnswered(std::uint64_t aFingerprint) {
   const auto found = mSuspects.find(aFingerprint);
-  if (found != mSuspects.end() &&
-      found->second.mEndpoints.size() < kCrashesToQuarantine) {
-    mSuspects.erase(found);
+  if (found == mSuspects.end() ||
+      found->second.mCrashes >= kCrashesToQuarantine) {
+    return false;
   }
+  mSuspects.erase(found);
+  return true;
+}
+
+bool CrashGuard::IsSuspect(std::uint64_t aFingerprint, TimePoint aNow) const {
+  const auto found = mSuspects.find(aFingerprint);
+  return found != mSuspects.end() && found->second.mExpires > aNow &&
+         found->second.mCrashes < kCrashesToQuarantine;
 }
 
 Duration CrashGuard::Remaining(std::uint64_t aFingerprint,
                                TimePoint aNow) const {
   const auto found = mSuspects.find(aFingerprint);
   if (found == mSuspects.end() || found->second.mExpires <= aNow ||
-      found->second.mEndpoints.size() < kCrashesToQuarantine) {
+      found->second.mCrashes < kCrashesToQuarantine) {
     return Duration::zero();
   }
   return std::chrono::duration_cast<Duration>(found->second.mExpires - aNow);
@@ -36,7 +49,7 @@
       ++it;
       continue;
     }
-    if (it->second.mEndpoints.size() >= kCrashesToQuarantine) {
+    if (it->second.mCrashes >= kCrashesToQuarantine) {
       ended.push_back(it->first);
     }
     it = mSuspects.erase(it);
--- a/core/routing/crash_guard.h
+++ b/core/routing/crash_guard.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -11,29 +10,38 @@
 
 namespace papayawheel {
 
-/** Distinct endpoints that a request may take down before it is stopped. */
+/** Crashes after which a request is stopped. */
 constexpr std::size_t kCrashesToQuarantine = 2;
 
 /** Time for which a request stays quarantined, and for which a single crash
  * is remembered. */
 constexpr std::chrono::seconds kQuarantineTime{60};
 
-/** An endpoint was lost while it ran a request. */
+/** An endpoint was lost while it ran a request, or a request that was suspect
+ * has been answered. */
 struct CrashReport {
   /** Identifies requests that are alike: method, path, customer, body. */
   std::uint64_t mFingerprint = 0;
   std::string mEndpoint;
+  /** The request was answered, so it is not to blame. */
+  bool mCleared = false;
 };
 
 /** Recognises requests that crash the endpoints that run them. */
 class CrashGuard {
  public:
-  /** An endpoint was lost while it ran the request. Returns true if this
+  /** Takes a report of this host or of another one. Returns true if this
    * starts a quarantine. */
-  bool NoteCrash(const CrashReport& aReport, TimePoint aNow);
+  bool Note(const CrashReport& aReport, TimePoint aNow);
 
-  /** The request was answered, so earlier losses were a coincidence. */
-  void NoteAnswered(std::uint64_t aFingerprint);
+  /** The request was answered, so an earlier loss was a coincidence. Returns
+   * true if it was suspect. */
+  bool NoteAnswered(std::uint64_t aFingerprint);
+
+  /** Whether the request was lost once; until it is answered it may run only
+   * once at a time over all hosts. */
+  [[nodiscard]] bool IsSuspect(std::uint64_t aFingerprint,
+                               TimePoint aNow) const;
 
   /** Time until the quarantine of the request ends; zero if it has none. */
   [[nodiscard]] Duration Remaining(std::uint64_t aFingerprint,
@@ -44,7 +52,7 @@
 
  private:
   struct Suspect {
-    std::set<std::string> mEndpoints;
+    std::size_t mCrashes = 0;
     TimePoint mExpires;
   };
 
--- a/servers/control_api.cpp
+++ b/servers/control_api.cpp
@@ -339,7 +339,8 @@
       continue;
     }
     const CrashReport report{item["fingerprint"].get<std::uint64_t>(),
-                             item["endpoint"].get<std::string>()};
+                             item["endpoint"].get<std::string>(),
+                             item.value("cleared", false)};
     mWorker.mState.WithEngine([&](CallEngine& aEngine) {
       aEngine.NoteRemoteCrash(report, mWorker.Now());
     });
--- a/servers/control_worker.cpp
+++ b/servers/control_worker.cpp
@@ -56,7 +56,8 @@
     nlohmann::json list = nlohmann::json::array();
     for (const CrashReport& report : reports) {
       list.push_back({{"fingerprint", report.mFingerprint},
-                      {"endpoint", report.mEndpoint}});
+                      {"endpoint", report.mEndpoint},
+                      {"cleared", report.mCleared}});
     }
     for (const auto& [name, host] : mEngine.Store().InForce()->mHosts) {
       if (name == mState.Identity().mName) {
--- /dev/null
+++ b/tests/core/test_call_engine.cpp
@@ -0,0 +1,215 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/core/engine_fleet.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class Act { Order, Query, Resend, Kill, Restart, Pause, Resume, Wait };
+constexpr int kActs = 8;
+
+struct Step {
+  Act mAct;
+  std::size_t mFirst;
+  std::size_t mSecond;
+  milliseconds mTime;
+};
+
+void showValue(const Step& aStep,  // NOLINT(readability-identifier-naming)
+               std::ostream& aOut) {
+  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
+       << aStep.mSecond << "," << aStep.mTime.count() << "}";
+}
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, kActs), rc::gen::inRange(0, 16),
+                     rc::gen::inRange(0, 16), rc::gen::inRange(0, 2000)),
+      [](const std::tuple<int, int, int, int>& aParts) {
+        return Step{static_cast<Act>(std::get<0>(aParts)),
+                    static_cast<std::size_t>(std::get<1>(aParts)),
+                    static_cast<std::size_t>(std::get<2>(aParts)),
+                    milliseconds(std::get<3>(aParts))};
+      });
+}
+
+void Apply(EngineFleet& aFleet, const Step& aStep) {
+  const std::size_t first = aStep.mFirst % aFleet.Hosts();
+  const std::size_t second = aStep.mSecond % aFleet.Hosts();
+  switch (aStep.mAct) {
+    case Act::Order:
+      aFleet.Send(aFleet.NewOrder(first), second);
+      break;
+    case Act::Query:
+      aFleet.Send(aFleet.NewQuery(), first);
+      break;
+    case Act::Resend:
+      aFleet.Resend(aStep.mFirst, second);
+      break;
+    case Act::Kill:
+      aFleet.Kill(first);
+      break;
+    case Act::Restart:
+      aFleet.Restart(first);
+      break;
+    case Act::Pause:
+      aFleet.SetPaused(first, true);
+      break;
+    case Act::Resume:
+      aFleet.SetPaused(first, false);
+      break;
+    case Act::Wait:
+      aFleet.Advance(aStep.mTime);
+      break;
+  }
+  aFleet.Advance(milliseconds(10));
+}
+
+TEST_CASE("requests run at most once and outcomes are true") {
+  CHECK(rc::check("any schedule of faults and resends", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const auto trouble = *rc::gen::element(0, 20, 60);
+    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    EngineFleet fleet(3, 3, seed);
+    fleet.SetTrouble(trouble);
+    for (const Step& step : steps) {
+      Apply(fleet, step);
+    }
+    // Whatever is frozen wakes and everything on its way arrives.
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      fleet.SetPaused(host, false);
+    }
+    fleet.Advance(seconds(5));
+    RC_ASSERT(fleet.Violation() == "");
+  }));
+}
+
+struct FoundSchedule {
+  const char* mWhat;
+  std::vector<Step> mSteps;
+};
+
+TEST_CASE("schedules that once gave a false outcome give a true one") {
+  const std::vector<FoundSchedule> schedules = {
+      {"a host that woke late refused a key that its owner had run",
+       {{Act::Pause, 0, 0, {}},
+        {Act::Order, 1, 0, {}},
+        {Act::Resend, 0, 1, {}},
+        {Act::Wait, 0, 0, milliseconds(161)},
+        {Act::Wait, 0, 0, milliseconds(1771)},
+        {Act::Resume, 0, 0, {}},
+        {Act::Wait, 0, 0, milliseconds(1000)}}},
+  };
+  for (const FoundSchedule& schedule : schedules) {
+    CAPTURE(schedule.mWhat);
+    EngineFleet fleet(3, 3, 0);
+    for (const Step& step : schedule.mSteps) {
+      Apply(fleet, step);
+    }
+    CHECK(fleet.Violation() == "");
+  }
+}
+
+TEST_CASE("a request that crashes endpoints stops after two of them") {
+  CHECK(rc::check("sent again through any hosts that talk", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const auto order = *rc::gen::arbitrary<bool>();
+    const auto hosts =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+    EngineFleet fleet(4, 8, seed);
+    for (const int host : hosts) {
+      // An order that is sent again gets a new key.
+      const std::size_t request =
+          order ? fleet.NewOrder(static_cast<std::size_t>(host))
+                : fleet.NewQuery();
+      fleet.MarkCrashing(request);
+      fleet.Send(request, static_cast<std::size_t>(host));
+      fleet.Advance(milliseconds(60));
+      RC_ASSERT(fleet.Crashes() <= 2U);
+    }
+  }));
+}
+
+struct RefusedCall {
+  const char* mWhat;
+  CallRequest mRequest;
+  ErrorKind mError;
+};
+
+TEST_CASE("calls that cannot be served are refused with their kind") {
+  const CallRequest good{"roofers", "orders", "GET", "/", 0, "", {}, {}};
+  const auto with = [&good](auto aChange) {
+    CallRequest request = good;
+    aChange(request);
+    return request;
+  };
+  const std::vector<RefusedCall> table = {
+      {"customer without contract",
+       with([](CallRequest& aCall) { aCall.mCustomer = "nobody"; }),
+       ErrorKind::UnknownCustomer},
+      {"unknown service",
+       with([](CallRequest& aCall) { aCall.mService = "none"; }),
+       ErrorKind::UnknownService},
+      {"service not bought",
+       with([](CallRequest& aCall) { aCall.mService = "other"; }),
+       ErrorKind::ServiceNotInContract},
+      {"order without key",
+       with([](CallRequest& aCall) { aCall.mMethod = "POST"; }),
+       ErrorKind::KeyMissing},
+      {"malformed key", with([](CallRequest& aCall) { aCall.mKey = "h0.zz"; }),
+       ErrorKind::KeyMalformed},
+      {"no patience left",
+       with([](CallRequest& aCall) { aCall.mPatience = Duration(0); }),
+       ErrorKind::DeadlinePassed},
+      {"key of a host that does not exist",
+       with([](CallRequest& aCall) { aCall.mKey = "h9.1.0.x"; }),
+       ErrorKind::KeyOwnerGone},
+      {"key of an earlier process of this host",
+       with([](CallRequest& aCall) { aCall.mKey = "h0.1.0.x"; }),
+       ErrorKind::KeyOwnerGone},
+      {"key that is too old",
+       with([](CallRequest& aCall) { aCall.mKey = "h0.7.0.x"; }),
+       ErrorKind::KeyExpired},
+  };
+  Configuration configuration = SampleConfiguration(1, 1, SampleContract());
+  configuration.mServices["other"] = configuration.mServices["orders"];
+  FakeClock clock;
+  CallEngine engine(HostIdentity{"h0", "dc0", 7}, clock.Now());
+  engine.Apply(ShareConfiguration(configuration), clock.Now());
+  engine.SetReady(true);
+  clock.Advance(kKeyUseTime + seconds(10));
+  engine.NoteControlAlive(clock.Now());
+  CallId id = 0;
+  for (const RefusedCall& row : table) {
+    CAPTURE(row.mWhat);
+    const CallActions actions = engine.Arrive(++id, row.mRequest, clock.Now());
+    REQUIRE(actions.size() == 1);
+    const auto* answer = std::get_if<AnswerAction>(&actions[0]);
+    REQUIRE(answer != nullptr);
+    CHECK(answer->mResponse == nullptr);
+    CHECK(AnswerOf(answer->mError).mName == AnswerOf(row.mError).mName);
+  }
+  CHECK(engine.InFlight() == 0);
+  clock.Advance(kMaxControlGap);
+  const CallActions late = engine.Arrive(++id, good, clock.Now());
+  CHECK(std::get<AnswerAction>(late.at(0)).mError == ErrorKind::HostNotReady);
+}
+
+TEST_CASE("every error kind has its own row and a name that reads back") {
+  for (int kind = 0; kind <= static_cast<int>(ErrorKind::AnswerNotKept);
+       ++kind) {
+    const auto error = static_cast<ErrorKind>(kind);
+    CHECK(AnswerOf(error).mKind == error);
+    CHECK(ErrorKindNamed(AnswerOf(error).mName) == error);
+  }
+}
+
+}  // namespace
+}  // namespace papayawheel
