Configuration: properties of spread, no revert, late wake and read count

A new host that asks the platform only stays hidden, since in the fake the peers answer sooner than the platform.

--- /dev/null
+++ b/tests/core/test_control_engine.cpp
@@ -0,0 +1,204 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "tests/core/control_fleet.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class Act {
+  Publish,
+  PublishInvalid,
+  PlatformUp,
+  PlatformDown,
+  PlatformStale,
+  Kill,
+  Restart,
+  Pause,
+  Resume,
+  Part,
+  Heal,
+  Wait,
+};
+constexpr int kActs = 12;
+
+struct Step {
+  Act mAct;
+  std::size_t mFirst;
+  milliseconds mTime;
+};
+
+void showValue(const Step& aStep,  // NOLINT(readability-identifier-naming)
+               std::ostream& aOut) {
+  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
+       << aStep.mTime.count() << "}";
+}
+
+rc::Gen<Step> AnyStep() {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, kActs), rc::gen::inRange(0, 6),
+                     rc::gen::inRange(0, 4000)),
+      [](const std::tuple<int, int, int>& aParts) {
+        return Step{static_cast<Act>(std::get<0>(aParts)),
+                    static_cast<std::size_t>(std::get<1>(aParts)),
+                    milliseconds(std::get<2>(aParts))};
+      });
+}
+
+void Apply(ControlFleet& aFleet, const Step& aStep) {
+  const std::size_t host = aStep.mFirst % aFleet.Hosts();
+  using State = ControlFleet::PlatformState;
+  switch (aStep.mAct) {
+    case Act::Publish:
+      aFleet.Publish(true);
+      break;
+    case Act::PublishInvalid:
+      aFleet.Publish(false);
+      break;
+    case Act::PlatformUp:
+      aFleet.SetPlatform(State::Up);
+      break;
+    case Act::PlatformDown:
+      aFleet.SetPlatform(State::Down);
+      break;
+    case Act::PlatformStale:
+      aFleet.SetPlatform(aStep.mFirst % 2 == 0 ? State::Stale : State::Old);
+      break;
+    case Act::Kill:
+      aFleet.Kill(host);
+      break;
+    case Act::Restart:
+      aFleet.Restart(host);
+      break;
+    case Act::Pause:
+      aFleet.SetPaused(host, true);
+      break;
+    case Act::Resume:
+      aFleet.SetPaused(host, false);
+      break;
+    case Act::Part:
+      aFleet.Part(1 + aStep.mFirst % 2);
+      break;
+    case Act::Heal:
+      aFleet.Part(0);
+      break;
+    case Act::Wait:
+      aFleet.Advance(aStep.mTime);
+      break;
+  }
+  aFleet.Advance(milliseconds(100));
+}
+
+TEST_CASE("revisions never revert and meet everywhere after the faults") {
+  CHECK(rc::check("any schedule of faults", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const auto loss = *rc::gen::element(0, 30);
+    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    ControlFleet fleet(6, 3, seed);
+    fleet.SetLoss(loss);
+    for (const Step& step : steps) {
+      Apply(fleet, step);
+      RC_ASSERT(fleet.Violation() == "");
+    }
+    fleet.SetLoss(0);
+    fleet.Part(0);
+    fleet.SetPlatform(ControlFleet::PlatformState::Up);
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      fleet.SetPaused(host, false);
+    }
+    // A last valid change, so that one exists after an invalid one.
+    fleet.Publish(true);
+    fleet.Advance(seconds(10));
+    RC_ASSERT(fleet.IsEverywhere());
+    RC_ASSERT(fleet.Violation() == "");
+  }));
+}
+
+TEST_CASE("a new host takes no older revision than a reachable peer has") {
+  CHECK(rc::check("the platform is old or down when it starts", [] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const auto down = *rc::gen::arbitrary<bool>();
+    const auto host = *rc::gen::inRange<std::size_t>(0, 6);
+    ControlFleet fleet(6, 3, seed);
+    fleet.Advance(seconds(5));
+    const std::uint64_t old = fleet.LastValid();
+    fleet.Publish(true);
+    fleet.Advance(seconds(5));
+    RC_ASSERT(fleet.IsEverywhere());
+    fleet.SetPlatform(down ? ControlFleet::PlatformState::Down
+                           : ControlFleet::PlatformState::Old);
+    fleet.Restart(host);
+    for (int tick = 0; tick < 200; ++tick) {
+      fleet.Advance(milliseconds(50));
+      RC_ASSERT(!fleet.IsCurrent(host) || fleet.Revision(host) > old);
+    }
+    RC_ASSERT(fleet.IsCurrent(host));
+  }));
+}
+
+struct SpreadCase {
+  const char* mWhat;
+  std::size_t mHosts;
+  std::size_t mDataCentres;
+  seconds mWithin;
+};
+
+TEST_CASE("a change is in force everywhere in time and costs few reads") {
+  const std::vector<SpreadCase> table = {
+      {"shingle network", 20, 4, seconds(2)},
+      {"co-operative", 18, 3, seconds(2)},
+      {"target", 105, 7, seconds(10)},
+  };
+  for (const SpreadCase& row : table) {
+    CAPTURE(row.mWhat);
+    ControlFleet fleet(row.mHosts, row.mDataCentres, 1);
+    fleet.Advance(seconds(30));
+    const std::uint64_t calls = fleet.PlatformCalls();
+    fleet.Publish(true);
+    fleet.Advance(row.mWithin);
+    CHECK(fleet.IsEverywhere());
+    fleet.Advance(seconds(120));
+    // Two watchers in a data centre, each with one call for the change and one
+    // every 30 seconds.
+    CHECK(fleet.PlatformCalls() - calls <= row.mDataCentres * 2 * 6);
+    std::uint64_t most = 0;
+    for (std::size_t host = 0; host < row.mHosts; ++host) {
+      most = std::max(most, fleet.Bytes(host));
+    }
+    const double elapsed = 152;
+    MESSAGE(std::string(row.mWhat) << ": most bytes a second on one host "
+                                   << static_cast<double>(most) / elapsed);
+    CHECK(static_cast<double>(most) / elapsed < 29'000);
+  }
+}
+
+TEST_CASE("a host that wakes late vouches for nothing until it has heard") {
+  ControlFleet fleet(4, 2, 1);
+  fleet.Advance(seconds(5));
+  REQUIRE(fleet.IsCurrent(1));
+  fleet.SetPaused(1, true);
+  fleet.Advance(seconds(60));
+  fleet.SetPlatform(ControlFleet::PlatformState::Down);
+  for (std::size_t host : {0, 2, 3}) {
+    fleet.Kill(host);
+  }
+  fleet.SetPaused(1, false);
+  for (int tick = 0; tick < 100; ++tick) {
+    fleet.Advance(milliseconds(50));
+    CHECK_FALSE(fleet.IsCurrent(1));
+  }
+  fleet.Restart(2);
+  fleet.SetPlatform(ControlFleet::PlatformState::Up);
+  fleet.Advance(seconds(5));
+  CHECK(fleet.IsCurrent(1));
+}
+
+}  // namespace
+}  // namespace papayawheel
