Routing: hold work on the host until a slot is believed free

Cause: the first engine let reports fade within 20 ms for every use, gave a call up after three refusals and mixed short and long work in one queue. Change: a free slot is judged from own calls and a report that fades within a typical call; the best endpoint is ranked by the same report without fading; a refusal puts the call back at the head of the host's queue; calls are learned by customer, method and path, short ones go first, and long ones beyond their part of the slots go only to endpoints that are mostly idle.

--- /dev/null
+++ b/benchmarks/routing_policies.cpp
@@ -0,0 +1,264 @@
+#include "benchmarks/routing_policies.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <unordered_map>
+#include <utility>
+
+#include "core/entry/call_engine.h"
+
+namespace papayawheel {
+namespace {
+
+/** What one host knows of one endpoint in the simple ways. */
+struct Known {
+  std::uint32_t mOwn = 0;
+  double mReported = 0;
+  std::uint32_t mSentSince = 0;
+};
+
+/** Chooses by one rule and sends at once. */
+class SimplePolicy : public RoutingPolicy {
+ public:
+  /** Gives the endpoint for a call; the tried ones are left out. */
+  using Rule = std::function<std::size_t(RoutingModel&, std::vector<Known>&,
+                                         const std::vector<std::size_t>&)>;
+
+  SimplePolicy(const RoutingScenario& aScenario, Rule aRule)
+      : mRule(std::move(aRule)),
+        mKnown(aScenario.mHosts, std::vector<Known>(aScenario.mEndpoints)) {}
+
+  void Arrive(RoutingModel& aModel, const ModelCall& aCall) override {
+    SendOn(aModel, aCall);
+  }
+
+  void Replied(RoutingModel& aModel, const ModelCall& aCall,
+               std::size_t aEndpoint, const ModelReply& aReply) override {
+    Known& known = mKnown[aCall.mHost][aEndpoint];
+    --known.mOwn;
+    known.mReported = aReply.mReport.mRunning + aReply.mReport.mQueued;
+    known.mSentSince = 0;
+    if (aReply.mResult == EndpointResult::Answered) {
+      mTried.erase(aCall.mId);
+    } else if (mTried[aCall.mId].size() < kMostTries) {
+      SendOn(aModel, aCall);
+    } else {
+      mTried.erase(aCall.mId);
+      aModel.Refuse(aCall);
+    }
+  }
+
+ private:
+  static constexpr std::size_t kMostTries = 3;
+
+  void SendOn(RoutingModel& aModel, const ModelCall& aCall) {
+    std::vector<std::size_t>& tried = mTried[aCall.mId];
+    const std::size_t endpoint = mRule(aModel, mKnown[aCall.mHost], tried);
+    tried.push_back(endpoint);
+    Known& known = mKnown[aCall.mHost][endpoint];
+    ++known.mOwn;
+    ++known.mSentSince;
+    aModel.Send(aCall, endpoint);
+  }
+
+  Rule mRule;
+  std::vector<std::vector<Known>> mKnown;
+  std::unordered_map<std::uint64_t, std::vector<std::size_t>> mTried;
+};
+
+template <typename Cost>
+std::size_t Least(RoutingModel& aModel, const std::vector<Known>& aKnown,
+                  const std::vector<std::size_t>& aTried, Cost aCost) {
+  std::size_t best = 0;
+  double bestCost = 1e18;
+  for (std::size_t index = 0; index < aKnown.size(); ++index) {
+    const bool tried =
+        std::find(aTried.begin(), aTried.end(), index) != aTried.end();
+    const double tie =
+        std::uniform_real_distribution<double>(0, 0.01)(aModel.Random());
+    const double cost = aCost(aKnown[index]) + tie + (tried ? 1e9 : 0);
+    if (cost < bestCost) {
+      best = index;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+std::size_t Any(RoutingModel& aModel, const std::vector<Known>& aKnown) {
+  return static_cast<std::size_t>(aModel.Random()() % aKnown.size());
+}
+
+NamedPolicy Simple(std::string aName, SimplePolicy::Rule aRule,
+                   std::size_t aEndpointQueue = SIZE_MAX) {
+  return NamedPolicy{std::move(aName),
+                     [rule = std::move(aRule)](const RoutingScenario& aScene) {
+                       return std::make_unique<SimplePolicy>(aScene, rule);
+                     },
+                     aEndpointQueue};
+}
+
+/** Runs one call engine a host. */
+class EngineDriver : public RoutingPolicy {
+ public:
+  explicit EngineDriver(const RoutingScenario& aScenario) {
+    Configuration configuration = Describe(aScenario);
+    const auto shared = std::make_shared<const Configuration>(configuration);
+    const TimePoint start{std::chrono::hours(1)};
+    for (std::size_t host = 0; host < aScenario.mHosts; ++host) {
+      // The process started long ago, so its shares are open.
+      const TimePoint began = start - std::chrono::minutes(10);
+      mEngines.push_back(std::make_unique<CallEngine>(
+          HostIdentity{HostName(host), "dc", host + 1}, began));
+      mEngines.back()->Apply(shared, began);
+      mEngines.back()->SetReady(true);
+    }
+    for (auto& engine : mEngines) {
+      for (std::size_t peer = 0; peer < aScenario.mHosts; ++peer) {
+        engine->Ledger().HostReported(HostName(peer), LedgerReport{1, 1}, start,
+                                      start);
+      }
+    }
+  }
+
+  void Arrive(RoutingModel& aModel, const ModelCall& aCall) override {
+    mCalls[aCall.mId] = aCall;
+    CallEngine& engine = *mEngines[aCall.mHost];
+    engine.NoteControlAlive(aModel.Now());
+    CallRequest request;
+    request.mCustomer = aCall.mPriority ? "priority" : "plain";
+    request.mService = "service";
+    request.mMethod = "GET";
+    request.mTarget = aCall.mLong ? "/long" : "/short";
+    Perform(aModel, engine.Arrive(aCall.mId, request, aModel.Now()));
+  }
+
+  void Replied(RoutingModel& aModel, const ModelCall& aCall,
+               std::size_t /*aEndpoint*/, const ModelReply& aReply) override {
+    EndpointReply reply;
+    reply.mResult = aReply.mResult;
+    reply.mReport = aReply.mReport;
+    reply.mResponse = mResponse;
+    Perform(aModel, mEngines[aCall.mHost]->EndpointReplied(aCall.mId, reply,
+                                                           aModel.Now()));
+  }
+
+  void Tick(RoutingModel& aModel) override {
+    for (auto& engine : mEngines) {
+      engine->NoteControlAlive(aModel.Now());
+      Perform(aModel, engine->Tick(aModel.Now()));
+    }
+  }
+
+ private:
+  static std::string HostName(std::size_t aIndex) {
+    return fmt::format("h{}", aIndex);
+  }
+
+  static Configuration Describe(const RoutingScenario& aScenario) {
+    Configuration configuration;
+    configuration.mRevision = 1;
+    for (std::size_t host = 0; host < aScenario.mHosts; ++host) {
+      configuration.mHosts[HostName(host)] =
+          Host{HostName(host), fmt::format("10.0.0.1:{}", host + 1), "dc",
+               NodeState::Live};
+    }
+    Service service;
+    service.mName = "service";
+    service.mSlotsPerEndpoint = static_cast<std::uint32_t>(aScenario.mSlots);
+    service.mLongestDeadline = std::chrono::seconds(10);
+    for (std::size_t index = 0; index < aScenario.mEndpoints; ++index) {
+      service.mEndpoints.push_back(Endpoint{fmt::format("{}", index),
+                                            fmt::format("10.0.1.1:{}", index),
+                                            "dc", NodeState::Live});
+    }
+    configuration.mServices["service"] = service;
+    configuration.mContracts["plain"] =
+        Contract{"plain", 1e6, 1'000'000, 1'000'000, 1, {"service"}};
+    configuration.mContracts["priority"] =
+        Contract{"priority", 1e6, 1'000'000, 1'000'000, 9, {"service"}};
+    return configuration;
+  }
+
+  void Perform(RoutingModel& aModel, const CallActions& aActions) {
+    for (const CallAction& action : aActions) {
+      if (const auto* send = std::get_if<SendToEndpointAction>(&action)) {
+        aModel.Send(mCalls.at(send->mCall), std::stoul(send->mEndpoint));
+      } else if (const auto* answer = std::get_if<AnswerAction>(&action)) {
+        if (answer->mResponse == nullptr) {
+          aModel.Refuse(mCalls.at(answer->mCall));
+        }
+        mCalls.erase(answer->mCall);
+      }
+    }
+  }
+
+  std::vector<std::unique_ptr<CallEngine>> mEngines;
+  std::unordered_map<std::uint64_t, ModelCall> mCalls;
+  std::shared_ptr<const Response> mResponse = std::make_shared<Response>();
+};
+
+}  // namespace
+
+std::vector<NamedPolicy> BaselinePolicies() {
+  using Knowns = std::vector<Known>;
+  using Tried = std::vector<std::size_t>;
+  std::vector<NamedPolicy> policies;
+  policies.push_back(
+      Simple("random", [](RoutingModel& aModel, Knowns& aKnown, const Tried&) {
+        return Any(aModel, aKnown);
+      }));
+  policies.push_back(Simple(
+      "round robin", [next = std::unordered_map<const Known*, std::size_t>()](
+                         RoutingModel&, Knowns& aKnown, const Tried&) mutable {
+        return next[aKnown.data()]++ % aKnown.size();
+      }));
+  policies.push_back(Simple(
+      "power of two on reports",
+      [](RoutingModel& aModel, Knowns& aKnown, const Tried&) {
+        const std::size_t one = Any(aModel, aKnown);
+        const std::size_t two = Any(aModel, aKnown);
+        return aKnown[one].mReported <= aKnown[two].mReported ? one : two;
+      }));
+  policies.push_back(
+      Simple("least own in flight",
+             [](RoutingModel& aModel, Knowns& aKnown, const Tried& aTried) {
+               return Least(aModel, aKnown, aTried,
+                            [](const Known& aOne) { return aOne.mOwn; });
+             }));
+  policies.push_back(
+      Simple("least report and own sends",
+             [](RoutingModel& aModel, Knowns& aKnown, const Tried& aTried) {
+               return Least(aModel, aKnown, aTried, [](const Known& aOne) {
+                 return aOne.mReported + aOne.mSentSince;
+               });
+             }));
+  policies.push_back(Simple(
+      "least own, full refuses",
+      [](RoutingModel& aModel, Knowns& aKnown, const Tried& aTried) {
+        return Least(aModel, aKnown, aTried,
+                     [](const Known& aOne) { return aOne.mOwn; });
+      },
+      0));
+  policies.push_back(Simple(
+      "report and sends, full refuses",
+      [](RoutingModel& aModel, Knowns& aKnown, const Tried& aTried) {
+        return Least(aModel, aKnown, aTried, [](const Known& aOne) {
+          return aOne.mReported + aOne.mSentSince;
+        });
+      },
+      0));
+  return policies;
+}
+
+NamedPolicy EnginePolicy(std::size_t aEndpointQueue) {
+  return NamedPolicy{
+      aEndpointQueue == 0 ? "engine, full refuses" : "engine, full queues",
+      [](const RoutingScenario& aScenario) {
+        return std::make_unique<EngineDriver>(aScenario);
+      },
+      aEndpointQueue};
+}
+
+}  // namespace papayawheel
--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "core/base/rendezvous.h"
@@ -18,9 +19,15 @@
 /** The longest time that a call waits on this host for a free slot. */
 constexpr std::chrono::milliseconds kMaxQueueTime{250};
 
+/** The same for a call that is known to run long. */
+constexpr std::chrono::milliseconds kMaxLongQueueTime{1000};
+
 /** Weight of the newest sample in the mean time between answers. */
 constexpr double kIntervalWeight = 0.05;
 
+/** Part of all slots of a service that long work may hold. */
+constexpr double kLongSlotShare = 0.6;
+
 /** Shortest wait that a refused caller is told. */
 constexpr std::chrono::milliseconds kLeastRetryAfter{5};
 
@@ -77,12 +84,6 @@
   if (aCall.mAttempts == 0) {
     service.mRetries.NoteCall();
   }
-  if (service.mQueue.IsEmpty()) {
-    if (const auto endpoint = service.mBook.Pick(aCall.mTriedEndpoints, aNow)) {
-      SendTo(aId, aCall, *endpoint, aNow, aActions);
-      return;
-    }
-  }
   Wait(aId, aCall, aNow, aActions);
 }
 
@@ -148,6 +149,7 @@
   aCall.mTriedEndpoints.push_back(aEndpoint);
   aCall.mSentAt = aNow;
   book.Sent(aEndpoint);
+  mServices.at(aCall.mRequest.mService).mLongInFlight += aCall.mLong ? 1 : 0;
   aActions.emplace_back(SendToEndpointAction{
       aId, aEndpoint, book.Endpoints().at(aEndpoint).mEndpoint.mAddress,
       std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow),
@@ -161,7 +163,7 @@
     Fail(aId, ErrorKind::NoEndpoint, kMaxQueueTime, aActions);
     return;
   }
-  const Duration expected = ExpectedWait(service, aCall.mPriority);
+  const Duration expected = ExpectedWait(service, aCall);
   const TimePoint latestStart = aCall.mDeadline - service.mBook.TypicalTime();
   if (aNow + expected > latestStart) {
     Fail(aId, ErrorKind::DeadlineTooShort, expected, aActions);
@@ -171,26 +173,82 @@
     Fail(aId, ErrorKind::Overloaded, expected, aActions);
     return;
   }
+  const bool isLong =
+      service.mRoutes.IsLong(aCall.mKind, service.mBook.TypicalTime());
+  aCall.mState = CallState::Waiting;
+  service.mQueue.Push(WaitingOf(aId, aCall, isLong));
+  Pump(aCall.mRequest.mService, aNow, aActions);
+}
+
+void CallEngine::WaitAgain(CallId aId, Call& aCall, TimePoint aNow,
+                           CallActions& aActions) {
+  ServiceState& service = mServices.at(aCall.mRequest.mService);
+  const bool isLong =
+      service.mRoutes.IsLong(aCall.mKind, service.mBook.TypicalTime());
+  const DispatchQueue::Waiting waiting = WaitingOf(aId, aCall, isLong);
+  if (waiting.mExpires <= aNow) {
+    Fail(aId, ErrorKind::Overloaded,
+         std::max<Duration>(kLeastRetryAfter, ExpectedWait(service, aCall)),
+         aActions);
+    return;
+  }
   ++mCounts.mQueued;
   aCall.mState = CallState::Waiting;
-  service.mQueue.Push(aId, aCall.mPriority, aNow,
-                      std::min(aNow + kMaxQueueTime, latestStart));
+  service.mQueue.PutBack(waiting);
+}
+
+DispatchQueue::Waiting CallEngine::WaitingOf(CallId aId, const Call& aCall,
+                                             bool aLong) const {
+  const ServiceState& service = mServices.at(aCall.mRequest.mService);
+  const Duration most = aLong ? kMaxLongQueueTime : kMaxQueueTime;
+  return DispatchQueue::Waiting{
+      aId, aCall.mPriority, aLong, aCall.mArrivedAt,
+      std::min(aCall.mArrivedAt + most,
+               aCall.mDeadline - service.mBook.TypicalTime())};
 }
 
 void CallEngine::Pump(const std::string& aService, TimePoint aNow,
                       CallActions& aActions) {
   ServiceState& service = mServices.at(aService);
-  while (const auto front = service.mQueue.Front()) {
-    Call& call = mCalls.at(*front);
-    const auto endpoint = service.mBook.Pick(call.mTriedEndpoints, aNow);
+  const std::uint32_t mostLong = MostLongCalls(service);
+  while (const DispatchQueue::Waiting* waiting = service.mQueue.Front()) {
+    const bool mustBeIdle = waiting->mLong && service.mLongInFlight >= mostLong;
+    auto endpoint = PickFor(service, *waiting, mustBeIdle, aNow);
+    if (!endpoint && mustBeIdle) {
+      waiting = service.mQueue.FrontShort();
+      if (waiting == nullptr) {
+        return;
+      }
+      endpoint = PickFor(service, *waiting, false, aNow);
+    }
     if (!endpoint) {
       return;
     }
-    service.mQueue.Pop();
-    SendTo(*front, call, *endpoint, aNow, aActions);
+    const CallId id = waiting->mId;
+    Call& call = mCalls.at(id);
+    call.mLong = waiting->mLong;
+    service.mQueue.Take(id);
+    SendTo(id, call, *endpoint, aNow, aActions);
   }
 }
 
+std::optional<std::string> CallEngine::PickFor(
+    ServiceState& aService, const DispatchQueue::Waiting& aWaiting,
+    bool aMustBeIdle, TimePoint aNow) {
+  const auto& tried = mCalls.at(aWaiting.mId).mTriedEndpoints;
+  return aMustBeIdle ? aService.mBook.PickIdle(tried, aNow)
+                     : aService.mBook.Pick(tried, aNow);
+}
+
+std::uint32_t CallEngine::MostLongCalls(const ServiceState& aService) const {
+  const auto slots = static_cast<double>(aService.mBook.Slots() *
+                                         aService.mBook.Endpoints().size());
+  const auto hosts = static_cast<double>(
+      std::max<std::size_t>(1, mConfiguration->mHosts.size()));
+  return static_cast<std::uint32_t>(
+      std::max(1.0, std::ceil(slots * kLongSlotShare / hosts)));
+}
+
 CallActions CallEngine::EndpointReplied(CallId aId, const EndpointReply& aReply,
                                         TimePoint aNow) {
   CallActions actions;
@@ -205,12 +263,10 @@
   service.mBook.Finished(
       call.mTarget, aReply.mResult, aReply.mReport,
       std::chrono::duration_cast<Duration>(aNow - call.mSentAt), aNow);
-  const auto sinceLast =
-      std::chrono::duration_cast<Duration>(aNow - service.mLastAnswer);
-  service.mAnswerInterval += std::chrono::duration_cast<Duration>(
-      (std::min<Duration>(sinceLast, kMaxQueueTime) - service.mAnswerInterval) *
-      kIntervalWeight);
-  service.mLastAnswer = aNow;
+  service.mLongInFlight -= call.mLong ? 1 : 0;
+  if (aReply.mResult == EndpointResult::Answered) {
+    NoteAnswer(service, call, aNow);
+  }
   switch (aReply.mResult) {
     case EndpointResult::Answered:
       if (mCrashGuard.NoteAnswered(call.mFingerprint)) {
@@ -220,7 +276,11 @@
       Succeed(aId, aReply.mResponse, actions);
       break;
     case EndpointResult::Shed:
-      RetryOrFail(aId, call, ErrorKind::Overloaded, aNow, actions);
+      // It was not run, and asking elsewhere costs one short message; only
+      // the time that a call may wait bounds it.
+      call.mTriedEndpoints.pop_back();
+      --call.mAttempts;
+      WaitAgain(aId, call, aNow, actions);
       break;
     case EndpointResult::NotConnected:
       RetryOrFail(aId, call, ErrorKind::NeverSent, aNow, actions);
@@ -240,6 +300,18 @@
   return actions;
 }
 
+void CallEngine::NoteAnswer(ServiceState& aService, const Call& aCall,
+                            TimePoint aNow) {
+  aService.mRoutes.Note(
+      aCall.mKind, std::chrono::duration_cast<Duration>(aNow - aCall.mSentAt));
+  const auto interval =
+      std::chrono::duration_cast<Duration>(aNow - aService.mLastAnswer);
+  aService.mAnswerInterval += std::chrono::duration_cast<Duration>(
+      (std::min<Duration>(interval, kMaxQueueTime) - aService.mAnswerInterval) *
+      kIntervalWeight);
+  aService.mLastAnswer = aNow;
+}
+
 void CallEngine::RetryOrFail(CallId aId, Call& aCall, ErrorKind aError,
                              TimePoint aNow, CallActions& aActions) {
   ServiceState& service = mServices.at(aCall.mRequest.mService);
@@ -256,8 +328,8 @@
     Dispatch(aId, aCall, aNow, aActions);
     return;
   }
-  const Duration retryAfter = std::max<Duration>(
-      kLeastRetryAfter, ExpectedWait(service, aCall.mPriority));
+  const Duration retryAfter =
+      std::max<Duration>(kLeastRetryAfter, ExpectedWait(service, aCall));
   Fail(aId, aError, std::max(quarantine, retryAfter), aActions);
 }
 
@@ -273,9 +345,11 @@
 }
 
 Duration CallEngine::ExpectedWait(const ServiceState& aService,
-                                  std::uint32_t aPriority) const {
+                                  const Call& aCall) const {
+  const bool isLong =
+      aService.mRoutes.IsLong(aCall.mKind, aService.mBook.TypicalTime());
   const auto ahead =
-      static_cast<std::int64_t>(aService.mQueue.Ahead(aPriority));
+      static_cast<std::int64_t>(aService.mQueue.Ahead(aCall.mPriority, isLong));
   return aService.mAnswerInterval * ahead;
 }
 
--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -61,15 +61,9 @@
     if (found == mServices.end()) {
       const auto seed =
           static_cast<std::uint32_t>(mIdentity.mIncarnation ^ StableHash(name));
-      found =
-          mServices
-              .emplace(name,
-                       ServiceState{EndpointBook(mIdentity.mDataCentre, seed),
-                                    {},
-                                    {},
-                                    Duration::zero(),
-                                    aNow})
-              .first;
+      ServiceState state{EndpointBook(mIdentity.mDataCentre, seed)};
+      state.mLastAnswer = aNow;
+      found = mServices.emplace(name, std::move(state)).first;
     }
     found->second.mBook.Configure(service, aNow);
   }
@@ -89,6 +83,9 @@
   call.mDeadline = aNow + aRequest.mPatience.value_or(kDefaultPatience);
   call.mFingerprint = FingerprintOf(aRequest);
   call.mIdempotent = IsIdempotent(aRequest.mMethod);
+  call.mArrivedAt = aNow;
+  call.mKind = RouteClassifier::KindOf(aRequest.mCustomer, aRequest.mMethod,
+                                       aRequest.mTarget);
   // The key goes first: only its owner can tell whether the request was run,
   // and what the owner refuses must stay refused.
   if (HandleKey(aId, call, aNow, actions)) {
@@ -276,6 +273,7 @@
     Fail(aId, ErrorKind::NeverSent, Duration::zero(), actions);
   } else if (call.mIdempotent && !call.mOwnsKey) {
     if (call.mState == CallState::AtEndpoint) {
+      mServices.at(service).mLongInFlight -= call.mLong ? 1 : 0;
       mServices.at(service).mBook.Finished(
           call.mTarget, EndpointResult::Shed, std::nullopt,
           std::chrono::duration_cast<Duration>(aNow - call.mSentAt), aNow);
@@ -302,8 +300,7 @@
   for (auto& [name, service] : mServices) {
     for (const CallId id : service.mQueue.Expire(aNow)) {
       const Call& call = mCalls.at(id);
-      Fail(id, ErrorKind::Overloaded, ExpectedWait(service, call.mPriority),
-           actions);
+      Fail(id, ErrorKind::Overloaded, ExpectedWait(service, call), actions);
     }
     Pump(name, aNow, actions);
   }
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -18,6 +18,7 @@
 #include "core/routing/dispatch_queue.h"
 #include "core/routing/endpoint_book.h"
 #include "core/routing/retry_budget.h"
+#include "core/routing/route_classifier.h"
 
 namespace papayawheel {
 
@@ -133,6 +134,11 @@
     /** An earlier attempt broke off after the send, so the call can no longer
      * be called not run. */
     bool mMayHaveRun = false;
+    /** The kind of request, for RouteClassifier. */
+    std::uint64_t mKind = 0;
+    /** It was taken for long work when it was sent. */
+    bool mLong = false;
+    TimePoint mArrivedAt;
   };
 
   /** Requests of one suspect kind, which run one at a time. */
@@ -143,11 +149,14 @@
 
   struct ServiceState {
     EndpointBook mBook;
-    DispatchQueue mQueue;
-    RetryBudget mRetries;
+    DispatchQueue mQueue{};
+    RetryBudget mRetries{};
+    RouteClassifier mRoutes{};
+    /** Calls at endpoints that were taken for long work. */
+    std::uint32_t mLongInFlight = 0;
     /** Running mean of the time between two answers. */
     Duration mAnswerInterval{0};
-    TimePoint mLastAnswer;
+    TimePoint mLastAnswer{};
   };
 
   std::optional<ErrorKind> CheckRequest(const CallRequest& aRequest,
@@ -174,7 +183,21 @@
   void SendTo(CallId aId, Call& aCall, const std::string& aEndpoint,
               TimePoint aNow, CallActions& aActions);
   void Wait(CallId aId, Call& aCall, TimePoint aNow, CallActions& aActions);
+  /** An endpoint refused the call; waits for another slot. */
+  void WaitAgain(CallId aId, Call& aCall, TimePoint aNow,
+                 CallActions& aActions);
+  std::optional<std::string> PickFor(ServiceState& aService,
+                                     const DispatchQueue::Waiting& aWaiting,
+                                     bool aMustBeIdle, TimePoint aNow);
+  /** Long calls that this host may have at endpoints of a service, so that
+   * all hosts together leave slots to short work. More go only to endpoints
+   * that are mostly idle. */
+  [[nodiscard]] std::uint32_t MostLongCalls(const ServiceState& aService) const;
+  [[nodiscard]] DispatchQueue::Waiting WaitingOf(CallId aId, const Call& aCall,
+                                                 bool aLong) const;
   void Pump(const std::string& aService, TimePoint aNow, CallActions& aActions);
+  static void NoteAnswer(ServiceState& aService, const Call& aCall,
+                         TimePoint aNow);
   void RetryOrFail(CallId aId, Call& aCall, ErrorKind aError, TimePoint aNow,
                    CallActions& aActions);
   void Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
@@ -184,7 +207,7 @@
   void CountError(const std::string& aCustomer, ErrorKind aError);
   void NoteCrash(const Call& aCall, TimePoint aNow);
   [[nodiscard]] Duration ExpectedWait(const ServiceState& aService,
-                                      std::uint32_t aPriority) const;
+                                      const Call& aCall) const;
 
   HostIdentity mIdentity;
   std::shared_ptr<const Configuration> mConfiguration;
--- a/core/routing/dispatch_queue.cpp
+++ b/core/routing/dispatch_queue.cpp
@@ -10,76 +10,89 @@
 
 }  // namespace
 
-void DispatchQueue::Push(Id aId, std::uint32_t aPriority, TimePoint aNow,
-                         TimePoint aExpires) {
-  const std::size_t lane = std::min<std::size_t>(aPriority, kPriorities - 1);
-  mLanes.at(lane).push_back(Waiting{aId, aNow, aExpires});
+void DispatchQueue::Push(const Waiting& aWaiting) {
+  mLanes.at(LaneOf(aWaiting.mPriority, aWaiting.mLong)).push_back(aWaiting);
   ++mSize;
 }
 
-std::optional<DispatchQueue::Id> DispatchQueue::Front() const {
-  const auto lane = NextLane();
-  if (!lane) {
-    return std::nullopt;
+void DispatchQueue::PutBack(const Waiting& aWaiting) {
+  mLanes.at(LaneOf(aWaiting.mPriority, aWaiting.mLong)).push_front(aWaiting);
+  ++mSize;
+}
+
+const DispatchQueue::Waiting* DispatchQueue::Front() const {
+  const Waiting* highest = nullptr;
+  const Waiting* oldest = nullptr;
+  for (const auto& lane : mLanes) {
+    if (lane.empty()) {
+      continue;
+    }
+    highest = &lane.front();
+    if (oldest == nullptr || highest->mSince < oldest->mSince) {
+      oldest = highest;
+    }
   }
-  return mLanes.at(*lane).front().mId;
+  return IsTurnOfOldest() ? oldest : highest;
 }
 
-void DispatchQueue::Pop() {
-  const auto lane = NextLane();
-  if (!lane) {
-    return;
+const DispatchQueue::Waiting* DispatchQueue::FrontShort() const {
+  for (std::size_t lane = kLanes; lane > 0; --lane) {
+    const auto& waiting = mLanes.at(lane - 1);
+    if (!waiting.empty() && !waiting.front().mLong) {
+      return &waiting.front();
+    }
   }
-  mLanes.at(*lane).pop_front();
-  --mSize;
+  return nullptr;
+}
+
+void DispatchQueue::Take(Id aId) {
+  Remove(aId);
   ++mTurn;
 }
 
 void DispatchQueue::Remove(Id aId) {
   for (auto& lane : mLanes) {
-    mSize -= std::erase_if(
-        lane, [aId](const Waiting& aWaiting) { return aWaiting.mId == aId; });
+    const auto found = std::find_if(
+        lane.begin(), lane.end(),
+        [aId](const Waiting& aWaiting) { return aWaiting.mId == aId; });
+    if (found != lane.end()) {
+      lane.erase(found);
+      --mSize;
+      return;
+    }
   }
 }
 
 std::vector<DispatchQueue::Id> DispatchQueue::Expire(TimePoint aNow) {
   std::vector<Id> expired;
   for (auto& lane : mLanes) {
-    for (const Waiting& waiting : lane) {
-      if (waiting.mExpires <= aNow) {
-        expired.push_back(waiting.mId);
+    mSize -= std::erase_if(lane, [&](const Waiting& aWaiting) {
+      if (aWaiting.mExpires > aNow) {
+        return false;
       }
-    }
-    mSize -= std::erase_if(lane, [aNow](const Waiting& aWaiting) {
-      return aWaiting.mExpires <= aNow;
+      expired.push_back(aWaiting.mId);
+      return true;
     });
   }
   return expired;
 }
 
-std::size_t DispatchQueue::Ahead(std::uint32_t aPriority) const {
+std::size_t DispatchQueue::Ahead(std::uint32_t aPriority, bool aLong) const {
   std::size_t ahead = 0;
-  for (std::size_t lane = std::min<std::size_t>(aPriority, kPriorities - 1);
-       lane < kPriorities; ++lane) {
+  for (std::size_t lane = LaneOf(aPriority, aLong); lane < kLanes; ++lane) {
     ahead += mLanes.at(lane).size();
   }
   return ahead;
 }
 
-std::optional<std::size_t> DispatchQueue::NextLane() const {
-  std::optional<std::size_t> highest;
-  std::optional<std::size_t> oldest;
-  for (std::size_t lane = 0; lane < kPriorities; ++lane) {
-    if (mLanes.at(lane).empty()) {
-      continue;
-    }
-    highest = lane;
-    if (!oldest ||
-        mLanes.at(lane).front().mSince < mLanes.at(*oldest).front().mSince) {
-      oldest = lane;
-    }
-  }
-  return mTurn % kTurnsPerOldest == kTurnsPerOldest - 1 ? oldest : highest;
+bool DispatchQueue::IsTurnOfOldest() const {
+  return mTurn % kTurnsPerOldest == kTurnsPerOldest - 1;
+}
+
+std::size_t DispatchQueue::LaneOf(std::uint32_t aPriority, bool aLong) {
+  const std::size_t priority =
+      std::min<std::size_t>(aPriority, kPriorities - 1);
+  return 2 * priority + (aLong ? 0 : 1);
 }
 
 }  // namespace papayawheel
--- a/core/routing/dispatch_queue.h
+++ b/core/routing/dispatch_queue.h
@@ -11,8 +11,9 @@
 namespace papayawheel {
 
 /** Calls of one service that wait on this host for a free slot. A higher
- * priority goes first; one in a few turns goes to the call that has waited
- * longest, so no priority starves. */
+ * priority goes first, and within a priority short work goes before long; one
+ * in a few turns goes to the call that has waited longest, so nothing starves.
+ */
 class DispatchQueue {
  public:
   using Id = std::uint64_t;
@@ -20,14 +21,31 @@
   /** Number of priorities, lowest 0. */
   static constexpr std::size_t kPriorities = 10;
 
-  void Push(Id aId, std::uint32_t aPriority, TimePoint aNow,
-            TimePoint aExpires);
+  /** A call that waits. */
+  struct Waiting {
+    Id mId = 0;
+    std::uint32_t mPriority = 0;
+    bool mLong = false;
+    /** When the call arrived at the host. */
+    TimePoint mSince;
+    /** When it must have been sent. */
+    TimePoint mExpires;
+  };
+
+  /** Adds a call behind its like. */
+  void Push(const Waiting& aWaiting);
+
+  /** Puts a call back before its like, after an endpoint refused it. */
+  void PutBack(const Waiting& aWaiting);
 
-  /** The next call to send, which stays in the queue. */
-  [[nodiscard]] std::optional<Id> Front() const;
+  /** The call whose turn it is, which stays in the queue; null if none. */
+  [[nodiscard]] const Waiting* Front() const;
 
-  /** Removes the call that Front() names. */
-  void Pop();
+  /** The first short call, for a slot that is kept free of long work. */
+  [[nodiscard]] const Waiting* FrontShort() const;
+
+  /** Removes a call that Front() or FrontShort() gave; this ends the turn. */
+  void Take(Id aId);
 
   /** Removes a call wherever it stands. */
   void Remove(Id aId);
@@ -35,22 +53,22 @@
   /** Removes and returns the calls whose time has run out. */
   std::vector<Id> Expire(TimePoint aNow);
 
-  /** Calls that would be served before a new one of this priority. */
-  [[nodiscard]] std::size_t Ahead(std::uint32_t aPriority) const;
+  /** Calls that would be served before a new one. */
+  [[nodiscard]] std::size_t Ahead(std::uint32_t aPriority, bool aLong) const;
 
   [[nodiscard]] bool IsEmpty() const { return mSize == 0; }
   [[nodiscard]] std::size_t Size() const { return mSize; }
 
+  /** Whether this turn goes to the call that has waited longest. */
+  [[nodiscard]] bool IsTurnOfOldest() const;
+
  private:
-  struct Waiting {
-    Id mId;
-    TimePoint mSince;
-    TimePoint mExpires;
-  };
+  /** Two lanes a priority: long work, then short. */
+  static constexpr std::size_t kLanes = 2 * kPriorities;
 
-  [[nodiscard]] std::optional<std::size_t> NextLane() const;
+  static std::size_t LaneOf(std::uint32_t aPriority, bool aLong);
 
-  std::array<std::deque<Waiting>, kPriorities> mLanes;
+  std::array<std::deque<Waiting>, kLanes> mLanes;
   std::size_t mSize = 0;
   std::uint32_t mTurn = 0;
 };
--- a/core/routing/endpoint_book.cpp
+++ b/core/routing/endpoint_book.cpp
@@ -8,16 +8,14 @@
 namespace papayawheel {
 namespace {
 
-/** The others' calls in a report count half after this time. */
-constexpr std::chrono::milliseconds kReportHalfLife{20};
+/** The calls of others in a report count half for a free slot after the time
+ * of a typical call, but not after less than this. */
+constexpr std::chrono::microseconds kLeastHalfLife{500};
 
 /** First pause of an endpoint that fails; it doubles with each failure. */
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::uint32_t kMostDoublings = 6;
 
-/** Pause after an endpoint refused a call because it is full. */
-constexpr std::chrono::milliseconds kShedPause{1};
-
 /** Share of the current estimate by which one sample moves the median. */
 constexpr double kMedianStep = 0.05;
 
@@ -58,18 +56,34 @@
 std::optional<std::string> EndpointBook::Pick(
     const std::vector<std::string>& aExcluded, TimePoint aNow) {
   const Duration typical = TypicalTime();
+  const auto hasRoom = [&](const EndpointState& aState) {
+    return EstimateLoad(aState, typical, aNow) + 1 <= mSlots;
+  };
+  return PickWhere(aExcluded, hasRoom, typical, aNow);
+}
+
+std::optional<std::string> EndpointBook::PickIdle(
+    const std::vector<std::string>& aExcluded, TimePoint aNow) {
+  const auto isIdle = [this](const EndpointState& aState) {
+    return 2 * (aState.mOwnInFlight + aState.mOthers + 1) <= mSlots;
+  };
+  return PickWhere(aExcluded, isIdle, TypicalTime(), aNow);
+}
+
+std::optional<std::string> EndpointBook::PickWhere(
+    const std::vector<std::string>& aExcluded, const Condition& aHasRoom,
+    Duration aTypical, TimePoint aNow) {
   const EndpointState* best = nullptr;
   double bestScore = 0;
   for (const auto& [name, state] : mEndpoints) {
     const bool excluded =
         std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
-    if (excluded || !IsUsable(state, aNow) ||
-        EstimateLoad(state, aNow) + 1 > mSlots) {
+    if (excluded || !IsUsable(state, aNow) || !aHasRoom(state)) {
       continue;
     }
     const double tieBreak =
         std::uniform_real_distribution<double>(0, kTieBreak)(mRandom);
-    const double score = ScoreOf(state, typical, aNow) + tieBreak;
+    const double score = ScoreOf(state, aTypical) + tieBreak;
     if (best == nullptr || score < bestScore) {
       best = &state;
       bestScore = score;
@@ -117,7 +131,11 @@
       NoteMedian(state, aElapsed);
       break;
     case EndpointResult::Shed:
-      state.mUsableFrom = std::max(state.mUsableFrom, aNow + kShedPause);
+      // A full endpoint may have no report; what it said is that all its
+      // slots are taken.
+      state.mOthers = std::max(
+          state.mOthers, static_cast<double>(mSlots) - state.mOwnInFlight);
+      state.mReportedAt = aNow;
       break;
     case EndpointResult::TimedOut:
       NoteMedian(state, aElapsed);
@@ -131,9 +149,10 @@
 }
 
 double EndpointBook::EstimateLoad(const EndpointState& aState,
-                                  TimePoint aNow) const {
+                                  Duration aTypical, TimePoint aNow) const {
+  const Duration halfLife = std::max<Duration>(kLeastHalfLife, aTypical);
   const double halfLives =
-      ToSeconds(aNow - aState.mReportedAt) / ToSeconds(kReportHalfLife);
+      ToSeconds(aNow - aState.mReportedAt) / ToSeconds(halfLife);
   return aState.mOwnInFlight + aState.mOthers * std::exp2(-halfLives);
 }
 
@@ -158,9 +177,9 @@
          aNow >= aState.mUsableFrom;
 }
 
-double EndpointBook::ScoreOf(const EndpointState& aState, Duration aTypical,
-                             TimePoint aNow) const {
-  double score = EstimateLoad(aState, aNow);
+double EndpointBook::ScoreOf(const EndpointState& aState,
+                             Duration aTypical) const {
+  double score = aState.mOwnInFlight + aState.mOthers;
   if (aState.mEndpoint.mDataCentre != mDataCentre) {
     score += kDistancePenalty;
   }
--- a/core/routing/endpoint_book.h
+++ b/core/routing/endpoint_book.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
@@ -32,9 +33,11 @@
 
 /** Chooses the endpoint for each call of one service on one host.
  *
- * The load of an endpoint is the host's own calls in flight, which it knows
- * exactly, plus what the last report said of the other hosts' calls, which
- * counts less the older it is. */
+ * Whether a slot is free follows from the host's own calls in flight, which it
+ * knows exactly, and from what the last report said of the others', which
+ * fades within the time of a typical call. Which endpoint is best follows from
+ * the same numbers without fading: long work that a report saw is mostly still
+ * there. */
 class EndpointBook {
  public:
   EndpointBook(std::string aDataCentre, std::uint32_t aSeed);
@@ -47,6 +50,11 @@
   [[nodiscard]] std::optional<std::string> Pick(
       const std::vector<std::string>& aExcluded, TimePoint aNow);
 
+  /** The best endpoint that was at most half full at its last report, or
+   * nothing. */
+  [[nodiscard]] std::optional<std::string> PickIdle(
+      const std::vector<std::string>& aExcluded, TimePoint aNow);
+
   /** Whether any endpoint takes calls at all. */
   [[nodiscard]] bool HasUsable(TimePoint aNow) const;
 
@@ -58,9 +66,10 @@
                 const std::optional<LoadReport>& aReport, Duration aElapsed,
                 TimePoint aNow);
 
-  /** The estimated calls on an endpoint, own and others'. */
+  /** The calls believed to run on an endpoint, own and others'. What a report
+   * says of the others' counts less the older it is. */
   [[nodiscard]] double EstimateLoad(const EndpointState& aState,
-                                    TimePoint aNow) const;
+                                    Duration aTypical, TimePoint aNow) const;
 
   [[nodiscard]] const std::map<std::string, EndpointState>& Endpoints() const {
     return mEndpoints;
@@ -75,8 +84,12 @@
  private:
   [[nodiscard]] bool IsUsable(const EndpointState& aState,
                               TimePoint aNow) const;
-  [[nodiscard]] double ScoreOf(const EndpointState& aState, Duration aTypical,
-                               TimePoint aNow) const;
+  using Condition = std::function<bool(const EndpointState&)>;
+  [[nodiscard]] std::optional<std::string> PickWhere(
+      const std::vector<std::string>& aExcluded, const Condition& aHasRoom,
+      Duration aTypical, TimePoint aNow);
+  [[nodiscard]] double ScoreOf(const EndpointState& aState,
+                               Duration aTypical) const;
   void NoteFailure(EndpointState& aState, TimePoint aNow) const;
   static void NoteMedian(EndpointState& aState, Duration aElapsed);
 
--- /dev/null
+++ b/core/routing/route_classifier.cpp
@@ -0,0 +1,51 @@
+#include "core/routing/route_classifier.h"
+
+#include <fmt/format.h>
+
+#include "core/base/rendezvous.h"
+
+namespace papayawheel {
+namespace {
+
+constexpr std::size_t kMostKinds = 4096;
+
+/** A kind is long if its mean is this many times the typical time. */
+constexpr int kLongFactor = 5;
+
+/** Weight of the newest call in the mean of its kind. */
+constexpr double kNewestWeight = 0.2;
+
+}  // namespace
+
+std::uint64_t RouteClassifier::KindOf(const std::string& aCustomer,
+                                      const std::string& aMethod,
+                                      const std::string& aTarget) {
+  return StableHash(fmt::format("{}\n{}\n{}", aCustomer, aMethod,
+                                aTarget.substr(0, aTarget.find('?'))));
+}
+
+void RouteClassifier::Note(std::uint64_t aKind, Duration aElapsed) {
+  const auto [found, added] = mKinds.try_emplace(aKind);
+  Kind& kind = found->second;
+  if (added) {
+    kind.mMean = aElapsed;
+    mRecent.push_front(aKind);
+    kind.mPlace = mRecent.begin();
+    if (mKinds.size() > kMostKinds) {
+      mKinds.erase(mRecent.back());
+      mRecent.pop_back();
+    }
+    return;
+  }
+  kind.mMean += std::chrono::duration_cast<Duration>((aElapsed - kind.mMean) *
+                                                     kNewestWeight);
+  mRecent.splice(mRecent.begin(), mRecent, kind.mPlace);
+}
+
+bool RouteClassifier::IsLong(std::uint64_t aKind, Duration aTypical) const {
+  const auto found = mKinds.find(aKind);
+  return found != mKinds.end() && aTypical > Duration::zero() &&
+         found->second.mMean > aTypical * kLongFactor;
+}
+
+}  // namespace papayawheel
