--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -14,17 +14,13 @@
 for _ in "${hosts[@]}"; do addresses+=("127.0.0.1:$(free_port)"); done
 entry_addresses="$(IFS=,; echo "${addresses[*]}")"
 
-# endpoint_json NAME ADDRESS DATA_CENTRE STATE
-endpoint_json() {
-  printf '{"name":"%s","address":"%s","data_centre":"%s","state":"%s"}' "$@"
-}
 orders=() catalogue=() order_addresses=()
 for n in 1 2 3 4; do
   address="127.0.0.1:$(free_port)"
   order_addresses+=("$address")
   start "order$n" papayawheel-standin-endpoint --address "$address" --slots 4
   address2="127.0.0.1:$(free_port)"
-  catalogue+=("$(endpoint_json "catalogue$n" "$address2" brasov live)")
+  catalogue+=("$(node_json "catalogue$n" "$address2" brasov live)")
   start "catalogue$n" papayawheel-standin-endpoint --address "$address2" \
     --slots 4 --service-us 2000
 done
@@ -35,20 +31,19 @@
   for n in 1 2 3 4; do
     local state=live
     [ "$n" = 1 ] && state="$1"
-    order_list+=("$(endpoint_json "order$n" "${order_addresses[n - 1]}" sibiu "$state")")
+    order_list+=("$(node_json "order$n" "${order_addresses[n - 1]}" sibiu "$state")")
   done
   for n in 0 1 2 3; do
     local state=live
     [ "$n" = 3 ] && state="$2"
-    host_list+=("$(endpoint_json "${hosts[n]}" "${addresses[n]}" "${centres[n]}" "$state")")
+    host_list+=("$(node_json "${hosts[n]}" "${addresses[n]}" "${centres[n]}" "$state")")
   done
   local IFS=,
-  printf '{"services":[{"name":"orders","slots_per_endpoint":4,"longest_deadline_ms":2000,"probes_per_second":1,"endpoints":[%s]},{"name":"catalogue","slots_per_endpoint":4,"longest_deadline_ms":2000,"probes_per_second":1,"endpoints":[%s]}],"hosts":[%s]}' \
-    "${order_list[*]}" "${catalogue[*]}" "${host_list[*]}"
-}
-contract() {
-  printf '{"customer":"%s","rate_per_second":%s,"burst":%s,"concurrency":%s,"priority":%s,"services":["orders","catalogue"]}' "$@"
+  printf '{"services":[%s,%s],"hosts":[%s]}' \
+    "$(service_json orders 4 "${order_list[@]}")" \
+    "$(service_json catalogue 4 "${catalogue[@]}")" "${host_list[*]}"
 }
+contract() { contract_json "$@" '"orders","catalogue"'; }
 
 publish fleet "$(fleet live live)" >/dev/null
 publish contracts/roofers "$(contract roofers 400 100 64 2)" >/dev/null
--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -88,3 +88,97 @@
   start "$1" papayawheel-entry --name "$1" --data-centre "$2" --address "$3" \
     --platform "$platform" --peers "${entry_addresses:-}"
 }
+
+# node_json NAME ADDRESS DATA_CENTRE STATE: one endpoint or host.
+node_json() {
+  printf '{"name":"%s","address":"%s","data_centre":"%s","state":"%s"}' "$@"
+}
+
+# contract_json CUSTOMER RATE BURST CONCURRENCY PRIORITY SERVICES
+contract_json() {
+  printf '{"customer":"%s","rate_per_second":%s,"burst":%s,"concurrency":%s,"priority":%s,"services":[%s]}' "$@"
+}
+
+# service_json NAME SLOTS ENDPOINT...
+service_json() {
+  local name="$1" slots="$2" IFS=,
+  shift 2
+  printf '{"name":"%s","slots_per_endpoint":%s,"longest_deadline_ms":2000,"probes_per_second":1,"endpoints":[%s]}' \
+    "$name" "$slots" "$*"
+}
+
+# A small fleet for tests: hosts a1, a2, b1 and c1 in three data centres, one
+# service "orders" with the given number of endpoints, one customer "roofers".
+# Sets addresses, endpoint_addresses and revision.
+start_small_fleet() {
+  local count="$1" n
+  start_platform
+  hosts=(a1 a2 b1 c1)
+  centres=(dc1 dc1 dc2 dc3)
+  addresses=()
+  endpoint_addresses=()
+  for _ in "${hosts[@]}"; do addresses+=("127.0.0.1:$(free_port)"); done
+  entry_addresses="$(IFS=,; echo "${addresses[*]}")"
+  for ((n = 0; n < count; n++)); do
+    endpoint_addresses+=("127.0.0.1:$(free_port)")
+    start "e$n" papayawheel-standin-endpoint \
+      --address "${endpoint_addresses[n]}" --slots 4
+  done
+  publish fleet "$(small_fleet_json)" >/dev/null
+  revision="$(publish contracts/roofers \
+    "$(contract_json roofers 400 100 64 5 '"orders"')")"
+  for ((n = 0; n < 4; n++)); do
+    start_entry "${hosts[n]}" "${centres[n]}" "${addresses[n]}"
+  done
+  for address in "${addresses[@]}"; do
+    wait_for 10 is_up "$address"
+    wait_for 10 has_revision "$address" "$revision"
+    wait_for 20 is_settled "$address"
+  done
+  # Shares open when calls of a possible predecessor must have ended.
+  sleep 3
+}
+
+# small_fleet_json [LEAVING_NAME]: the fleet document.
+small_fleet_json() {
+  local leaving="${1:-}" n state endpoint_list=() host_list=()
+  for ((n = 0; n < ${#endpoint_addresses[@]}; n++)); do
+    state=live
+    [ "e$n" = "$leaving" ] && state=leaving
+    endpoint_list+=("$(node_json "e$n" "${endpoint_addresses[n]}" dc1 "$state")")
+  done
+  for ((n = 0; n < ${#hosts[@]}; n++)); do
+    state=live
+    [ "${hosts[n]}" = "$leaving" ] && state=leaving
+    host_list+=("$(node_json "${hosts[n]}" "${addresses[n]}" "${centres[n]}" "$state")")
+  done
+  local IFS=,
+  printf '{"services":[%s],"hosts":[%s]}' \
+    "$(service_json orders 4 "${endpoint_list[@]}")" "${host_list[*]}"
+}
+
+# load NAME MILLISECONDS [SETTING ...]: sends load; the result is
+# $work/NAME.result.
+load() {
+  local name="$1" duration="$2"
+  shift 2
+  "$bin/papayawheel-standin-caller" --entries "$entry_addresses" \
+    --customer roofers --service orders --duration-ms "$duration" \
+    --endpoints "$(IFS=,; echo "${endpoint_addresses[*]}")" "$@" \
+    >"$work/$name.result" || true
+  cat "$work/$name.result"
+}
+
+# field NAME FIELD: a number from the result of load().
+field() { sed "s/.*\"$2\":\([0-9.e-]*\).*/\1/" "$work/$1.result"; }
+
+# expect TEXT CONDITION...: fails the script unless the condition holds.
+expect() {
+  local text="$1"
+  shift
+  if ! "$@"; then
+    echo "NOT HELD: $text"
+    exit 1
+  fi
+  echo "held: $text"
+}
--- /dev/null
+++ b/standins/misbehaving_main.cpp
@@ -0,0 +1,128 @@
+// A stand-in for an endpoint that breaks HTTP in the way its target names.
+#include <fmt/format.h>
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/streambuf.hpp>
+#include <asio/write.hpp>
+#include <istream>
+#include <memory>
+
+#include "core/config/address.h"
+#include "drivers/program_settings.h"
+
+namespace {
+
+using namespace papayawheel;
+using asio::ip::tcp;
+
+/** What is sent for one request. */
+struct Script {
+  std::string mText;
+  /** Close the connection afterwards. */
+  bool mClose = false;
+};
+
+Script ScriptFor(const std::string& aTarget) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  if (aTarget == "/short") {
+    return {head + "Content-Length: 100\r\n\r\nonly this", true};
+  }
+  if (aTarget == "/chunked") {
+    return {head +
+                "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n "
+                "world\r\n0\r\n\r\n",
+            false};
+  }
+  if (aTarget == "/chunked-cut") {
+    return {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", true};
+  }
+  if (aTarget == "/no-length") {
+    return {head + "\r\nno end is stated", true};
+  }
+  if (aTarget == "/reset") {
+    return {"", true};
+  }
+  if (aTarget == "/silent") {
+    return {"", false};
+  }
+  if (aTarget == "/garbage") {
+    return {"this is not HTTP\r\n\r\n", true};
+  }
+  const std::string body = "whole " + aTarget;
+  return {
+      fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body),
+      false};
+}
+
+/** Answers the requests of one connection. */
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  explicit Session(tcp::socket aSocket) : mSocket(std::move(aSocket)) {}
+
+  void Read() {
+    auto self = shared_from_this();
+    asio::async_read_until(mSocket, mInput, "\r\n\r\n",
+                           [self](asio::error_code aError, std::size_t aSize) {
+                             if (!aError) {
+                               self->Answer(aSize);
+                             }
+                           });
+  }
+
+ private:
+  void Answer(std::size_t aSize) {
+    std::istream input(&mInput);
+    std::string method;
+    std::string target;
+    input >> method >> target;
+    std::string rest(aSize, ' ');
+    const auto read = method.size() + target.size() + 1;
+    input.read(rest.data(), static_cast<std::streamsize>(aSize - read));
+    mScript = ScriptFor(target);
+    auto self = shared_from_this();
+    asio::async_write(mSocket, asio::buffer(mScript.mText),
+                      [self](asio::error_code aError, std::size_t) {
+                        if (!aError && !self->mScript.mClose) {
+                          self->Read();
+                        }
+                      });
+  }
+
+  tcp::socket mSocket;
+  asio::streambuf mInput;
+  Script mScript;
+};
+
+void Accept(tcp::acceptor& aAcceptor) {
+  aAcceptor.async_accept(
+      [&aAcceptor](asio::error_code aError, tcp::socket aSocket) {
+        if (!aError) {
+          std::make_shared<Session>(std::move(aSocket))->Read();
+        }
+        Accept(aAcceptor);
+      });
+}
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-standin-misbehaving",
+                           "stands in for an endpoint that breaks HTTP");
+  settings.Add("address", std::nullopt, "IP number and port to listen on",
+               CheckAddress);
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  const Address address = *ParseAddress(settings.Text("address"));
+  asio::io_context context(1);
+  tcp::acceptor acceptor(
+      context,
+      tcp::endpoint(asio::ip::make_address(address.mIp), address.mPort));
+  Accept(acceptor);
+  context.run();
+  return kExitOk;
+}
--- a/tests/core/engine_fleet.cpp
+++ b/tests/core/engine_fleet.cpp
@@ -285,7 +285,7 @@
 }
 
 void EngineFleet::Finish(std::size_t aHost, CallId aCall,
-                         EndpointReply aReply) {
+                         const EndpointReply& aReply) {
   Perform(aHost,
           mNodes[aHost].mEngine->EndpointReplied(aCall, aReply, mClock.Now()));
   SpreadCrashes(aHost);
--- a/tests/core/engine_fleet.h
+++ b/tests/core/engine_fleet.h
@@ -106,7 +106,7 @@
   void Perform(std::size_t aHost, const CallActions& aActions);
   void ToEndpoint(std::size_t aHost, const SendToEndpointAction& aAction);
   void ToHost(std::size_t aHost, const SendToHostAction& aAction);
-  void Finish(std::size_t aHost, CallId aCall, EndpointReply aReply);
+  void Finish(std::size_t aHost, CallId aCall, const EndpointReply& aReply);
   void SpreadCrashes(std::size_t aHost);
   bool Run(std::size_t aRequest);
   [[nodiscard]] std::string BodyOf(std::size_t aRequest) const;
--- /dev/null
+++ b/tests/process/crashing_request.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# One request crashes each endpoint that runs it and is sent again through every
+# host: at most two endpoints fall, and other requests are served.
+set -euo pipefail
+source "$(dirname "$0")/../../misc/fleet.sh"
+start_small_fleet 6
+for round in 1 2 3 4 5 6; do
+  for address in "${addresses[@]}"; do
+    curl -sS --max-time 5 -H 'papayawheel-customer: roofers' \
+      -H 'papayawheel-service: orders' "http://$address/work?crash=1" || true
+    echo
+  done
+done
+fallen=0
+for n in 0 1 2 3 4 5; do
+  kill -0 "${pid_of[e$n]}" 2>/dev/null || fallen=$((fallen + 1))
+done
+expect "at most two endpoints fell ($fallen)" [ "$fallen" -le 2 ]
+expect "the quarantine is audited" grep -q "topic=quarantine.*started" "$work"/a1.log
+load others 2000 --rate 100 --seed 3
+expect "other requests are answered" \
+  [ "$(field others answered)" -eq "$(field others sent)" ]
