Measuring load keeps to a budget over all hosts

Cause: nothing bounded how often a host tries an endpoint that was full by its last report; at 95% load a call was refused 7 times before it was taken, and the setting probes_per_second did nothing. Change: such a try is a probe. The budget of a service states probes a second and endpoint over all hosts; every host has an equal part in a bucket that starts empty; while hosts may obey different host lists the part follows from all hosts of all of them, and a fresh process has none.

--- a/benchmarks/routing_bench.cpp
+++ b/benchmarks/routing_bench.cpp
@@ -63,11 +63,14 @@
   std::string only;
   bool engineOnly = false;
   std::uint32_t seed = 1;
+  double probes = RoutingScenario{}.mProbesPerSecond;
   description.add_options()("help", "print this text")(
       "only", options::value(&only), "run only the scenarios with this word")(
       "engine-only", options::bool_switch(&engineOnly),
       "leave the simple ways out")("seed", options::value(&seed),
-                                   "seed of the arrivals");
+                                   "seed of the arrivals")(
+      "probes", options::value(&probes),
+      "probes per second and endpoint, over all hosts");
   options::variables_map flags;
   try {
     options::store(options::parse_command_line(aCount, aArguments, description),
@@ -83,6 +86,7 @@
   }
   RoutingScenario shingle;
   shingle.mSeed = seed;
+  shingle.mProbesPerSecond = probes;
   RoutingScenario hire = shingle;
   hire.mEndpoints = 20;
   hire.mSlots = 6;
--- a/benchmarks/routing_model.h
+++ b/benchmarks/routing_model.h
@@ -43,6 +43,8 @@
   bool mFailFast = false;
   /** Share of calls of the customer with priority. */
   double mPriorityShare = 0;
+  /** Probes per second and endpoint, over all hosts. */
+  double mProbesPerSecond = 1000;
   std::uint32_t mSeed = 1;
 };
 
--- a/benchmarks/routing_policies.cpp
+++ b/benchmarks/routing_policies.cpp
@@ -168,6 +168,7 @@
     service.mName = "service";
     service.mSlotsPerEndpoint = static_cast<std::uint32_t>(aScenario.mSlots);
     service.mLongestDeadline = std::chrono::seconds(10);
+    service.mProbesPerSecond = aScenario.mProbesPerSecond;
     for (std::size_t index = 0; index < aScenario.mEndpoints; ++index) {
       service.mEndpoints.push_back(Endpoint{fmt::format("{}", index),
                                             fmt::format("10.0.1.1:{}", index),
--- a/core/config/configuration.h
+++ b/core/config/configuration.h
@@ -46,7 +46,8 @@
   std::uint32_t mSlotsPerEndpoint = 0;
   /** The longest time that one call may take, from arrival to answer. */
   std::chrono::milliseconds mLongestDeadline{0};
-  /** Load probes per second and endpoint, over all hosts. */
+  /** Calls per second that all hosts together may send to one endpoint to see
+   * whether a slot has come free, though its last report left none. */
   double mProbesPerSecond = 0;
   std::vector<Endpoint> mEndpoints;
 
--- a/core/config/configuration_parser.cpp
+++ b/core/config/configuration_parser.cpp
@@ -26,7 +26,7 @@
 constexpr double kMaxPriority = 9;
 constexpr double kMaxSlots = 1e5;
 constexpr double kMaxDeadlineMs = 600'000;
-constexpr double kMaxProbesPerSecond = 1000;
+constexpr double kMaxProbesPerSecond = 1e6;
 constexpr std::size_t kMaxNameLength = 128;
 
 /** Carries the message of the first fault out of the nested readers. */
--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -192,7 +192,7 @@
          aActions);
     return;
   }
-  ++mCounts.mQueued;
+  ++mCounts.mShed;
   aCall.mState = CallState::Waiting;
   service.mQueue.PutBack(waiting);
 }
--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -56,6 +56,11 @@
                        TimePoint aNow) {
   mConfiguration = std::move(aConfiguration);
   mLedger.Apply(mConfiguration, aNow);
+  ConfigureServices(aNow);
+}
+
+void CallEngine::ConfigureServices(TimePoint aNow) {
+  mHostsSharing = mLedger.HostsSharing();
   for (const auto& [name, service] : mConfiguration->mServices) {
     auto found = mServices.find(name);
     if (found == mServices.end()) {
@@ -65,7 +70,7 @@
       state.mLastAnswer = aNow;
       found = mServices.emplace(name, std::move(state)).first;
     }
-    found->second.mBook.Configure(service, aNow);
+    found->second.mBook.Configure(service, mHostsSharing, aNow);
   }
 }
 
@@ -294,6 +299,9 @@
   CallActions actions;
   mNow = aNow;
   mLedger.Tick(aNow);
+  if (mLedger.HostsSharing() != mHostsSharing) {
+    ConfigureServices(aNow);
+  }
   mOutcomes.Tick(aNow);
   for (const std::uint64_t fingerprint : mCrashGuard.Tick(aNow)) {
     mQuarantineEvents.push_back(
@@ -337,6 +345,14 @@
   return std::exchange(mQuarantineEvents, {});
 }
 
+std::uint64_t CallEngine::Probes() const {
+  std::uint64_t probes = 0;
+  for (const auto& [name, service] : mServices) {
+    probes += service.mBook.Probes();
+  }
+  return probes;
+}
+
 const EndpointBook* CallEngine::BookOf(const std::string& aService) const {
   const auto found = mServices.find(aService);
   return found == mServices.end() ? nullptr : &found->second.mBook;
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -43,7 +43,8 @@
   std::uint64_t mUnknown = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mPassedOn = 0;
-  std::uint64_t mQueued = 0;
+  /** Calls that an endpoint refused because it was full. */
+  std::uint64_t mShed = 0;
   std::map<ErrorKind, std::uint64_t> mErrors;
 };
 
@@ -106,6 +107,8 @@
   [[nodiscard]] ShareLedger& Ledger() { return mLedger; }
   [[nodiscard]] const OutcomeTable& Outcomes() const { return mOutcomes; }
   [[nodiscard]] const CallCounts& Counts() const { return mCounts; }
+  /** Probes of all services since the process started. */
+  [[nodiscard]] std::uint64_t Probes() const;
   [[nodiscard]] std::size_t InFlight() const { return mCalls.size(); }
   [[nodiscard]] const std::map<std::string, LastRefusal>& Refusals() const {
     return mRefusals;
@@ -160,6 +163,7 @@
     TimePoint mLastAnswer{};
   };
 
+  void ConfigureServices(TimePoint aNow);
   std::optional<ErrorKind> CheckRequest(const CallRequest& aRequest,
                                         TimePoint aNow) const;
   /** Handles the request key; true if the call is dealt with. */
@@ -225,6 +229,8 @@
   std::map<std::string, LastRefusal> mRefusals;
   CallCounts mCounts;
   bool mReady = false;
+  /** Hosts that share budgets, as the services were told. */
+  std::size_t mHostsSharing = 0;
   TimePoint mControlSeen;
   TimePoint mNow;
 };
--- a/core/limits/share_ledger.cpp
+++ b/core/limits/share_ledger.cpp
@@ -154,6 +154,19 @@
       });
 }
 
+std::size_t ShareLedger::HostsSharing() const {
+  if (mIsFresh) {
+    return 0;
+  }
+  std::set<std::string> hosts;
+  for (const Epoch& epoch : mEpochs) {
+    for (const auto& [name, host] : epoch.mConfiguration->mHosts) {
+      hosts.insert(name);
+    }
+  }
+  return hosts.size();
+}
+
 const ShareSplit* ShareLedger::SplitOf(const std::string& aCustomer) const {
   if (mEpochs.empty()) {
     return nullptr;
--- a/core/limits/share_ledger.h
+++ b/core/limits/share_ledger.h
@@ -97,6 +97,10 @@
     return mEpochs.size() == 1 && !mIsFresh;
   }
 
+  /** Hosts that may use parts of a common budget now, under any revision that
+   * some host may still obey; 0 while this host does not know. */
+  [[nodiscard]] std::size_t HostsSharing() const;
+
   /** The split of a customer's contract in force; nothing without contract. */
   [[nodiscard]] const ShareSplit* SplitOf(const std::string& aCustomer) const;
 
--- a/core/routing/endpoint_book.cpp
+++ b/core/routing/endpoint_book.cpp
@@ -12,6 +12,9 @@
  * of a typical call, but not after less than this. */
 constexpr std::chrono::microseconds kLeastHalfLife{500};
 
+/** Probes that one host may send to one endpoint at once. */
+constexpr double kProbeBurst = 1;
+
 /** First pause of an endpoint that fails; it doubles with each failure. */
 constexpr std::chrono::milliseconds kFirstPause{50};
 constexpr std::uint32_t kMostDoublings = 6;
@@ -34,20 +37,19 @@
 EndpointBook::EndpointBook(std::string aDataCentre, std::uint32_t aSeed)
     : mDataCentre(std::move(aDataCentre)), mRandom(aSeed) {}
 
-void EndpointBook::Configure(const Service& aService, TimePoint aNow) {
+void EndpointBook::Configure(const Service& aService, std::size_t aHosts,
+                             TimePoint aNow) {
   mSlots = aService.mSlotsPerEndpoint;
+  const double probes =
+      aHosts == 0 ? 0 : aService.mProbesPerSecond / static_cast<double>(aHosts);
   std::map<std::string, EndpointState> next;
   for (const Endpoint& endpoint : aService.mEndpoints) {
     const auto known = mEndpoints.find(endpoint.mName);
-    EndpointState state;
-    if (known != mEndpoints.end() &&
-        known->second.mEndpoint.mAddress == endpoint.mAddress) {
-      state = known->second;
-    } else {
-      state.mReportedAt = aNow;
-      state.mUsableFrom = aNow;
-    }
+    const bool stays = known != mEndpoints.end() &&
+                       known->second.mEndpoint.mAddress == endpoint.mAddress;
+    EndpointState state = stays ? known->second : EndpointState(aNow);
     state.mEndpoint = endpoint;
+    state.mProbes.SetLimits(probes, kProbeBurst, aNow);
     next.emplace(endpoint.mName, std::move(state));
   }
   mEndpoints = std::move(next);
@@ -57,9 +59,21 @@
     const std::vector<std::string>& aExcluded, TimePoint aNow) {
   const Duration typical = TypicalTime();
   const auto hasRoom = [&](const EndpointState& aState) {
-    return EstimateLoad(aState, typical, aNow) + 1 <= mSlots;
+    if (!WasFull(aState)) {
+      return true;
+    }
+    return EstimateLoad(aState, typical, aNow) + 1 <= mSlots &&
+           aState.mProbes.UntilNext(aNow) == Duration::zero();
   };
-  return PickWhere(aExcluded, hasRoom, typical, aNow);
+  EndpointState* const best = PickWhere(aExcluded, hasRoom, typical, aNow);
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  if (WasFull(*best)) {
+    best->mProbes.TryTake(aNow);
+    ++mProbes;
+  }
+  return best->mEndpoint.mName;
 }
 
 std::optional<std::string> EndpointBook::PickIdle(
@@ -67,15 +81,20 @@
   const auto isIdle = [this](const EndpointState& aState) {
     return 2 * (aState.mOwnInFlight + aState.mOthers + 1) <= mSlots;
   };
-  return PickWhere(aExcluded, isIdle, TypicalTime(), aNow);
+  const EndpointState* const best =
+      PickWhere(aExcluded, isIdle, TypicalTime(), aNow);
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return best->mEndpoint.mName;
 }
 
-std::optional<std::string> EndpointBook::PickWhere(
+EndpointState* EndpointBook::PickWhere(
     const std::vector<std::string>& aExcluded, const Condition& aHasRoom,
     Duration aTypical, TimePoint aNow) {
-  const EndpointState* best = nullptr;
+  EndpointState* best = nullptr;
   double bestScore = 0;
-  for (const auto& [name, state] : mEndpoints) {
+  for (auto& [name, state] : mEndpoints) {
     const bool excluded =
         std::find(aExcluded.begin(), aExcluded.end(), name) != aExcluded.end();
     if (excluded || !IsUsable(state, aNow) || !aHasRoom(state)) {
@@ -89,10 +108,11 @@
       bestScore = score;
     }
   }
-  if (best == nullptr) {
-    return std::nullopt;
-  }
-  return best->mEndpoint.mName;
+  return best;
+}
+
+bool EndpointBook::WasFull(const EndpointState& aState) const {
+  return aState.mOwnInFlight + aState.mOthers + 1 > mSlots;
 }
 
 bool EndpointBook::HasUsable(TimePoint aNow) const {
--- a/core/routing/endpoint_book.h
+++ b/core/routing/endpoint_book.h
@@ -10,6 +10,7 @@
 
 #include "core/base/clock.h"
 #include "core/config/configuration.h"
+#include "core/limits/token_bucket.h"
 #include "core/routing/endpoint_result.h"
 #include "core/routing/load_report.h"
 
@@ -17,6 +18,9 @@
 
 /** What one host knows of one endpoint. */
 struct EndpointState {
+  explicit EndpointState(TimePoint aNow)
+      : mReportedAt(aNow), mUsableFrom(aNow), mProbes(aNow) {}
+
   Endpoint mEndpoint;
   std::uint32_t mOwnInFlight = 0;
   /** Calls of other hosts, from the last report. */
@@ -29,6 +33,8 @@
   TimePoint mUsableFrom;
   /** The endpoint itself said that it is draining. */
   bool mDraining = false;
+  /** This host's part of the probes that the endpoint may get. */
+  TokenBucket mProbes;
 };
 
 /** Chooses the endpoint for each call of one service on one host.
@@ -37,14 +43,19 @@
  * knows exactly, and from what the last report said of the others', which
  * fades within the time of a typical call. Which endpoint is best follows from
  * the same numbers without fading: long work that a report saw is mostly still
- * there. */
+ * there.
+ *
+ * A call sent to an endpoint that was full by its last report is a probe: it
+ * measures whether a slot has come free. Probes are bounded by the budget of
+ * the service, of which every host has an equal part. */
 class EndpointBook {
  public:
   EndpointBook(std::string aDataCentre, std::uint32_t aSeed);
 
   /** Takes over the published endpoints; what is known of those that stay is
-   * kept. */
-  void Configure(const Service& aService, TimePoint aNow);
+   * kept.
+   * @param aHosts hosts that share the budget of probes; 0 for no part. */
+  void Configure(const Service& aService, std::size_t aHosts, TimePoint aNow);
 
   /** The best endpoint with a slot believed free, or nothing. */
   [[nodiscard]] std::optional<std::string> Pick(
@@ -75,6 +86,9 @@
     return mEndpoints;
   }
 
+  /** Probes sent so far. */
+  [[nodiscard]] std::uint64_t Probes() const { return mProbes; }
+
   /** Calls that the endpoints' free slots could take, as believed. */
   [[nodiscard]] std::uint32_t Slots() const { return mSlots; }
 
@@ -85,9 +99,10 @@
   [[nodiscard]] bool IsUsable(const EndpointState& aState,
                               TimePoint aNow) const;
   using Condition = std::function<bool(const EndpointState&)>;
-  [[nodiscard]] std::optional<std::string> PickWhere(
-      const std::vector<std::string>& aExcluded, const Condition& aHasRoom,
-      Duration aTypical, TimePoint aNow);
+  EndpointState* PickWhere(const std::vector<std::string>& aExcluded,
+                           const Condition& aHasRoom, Duration aTypical,
+                           TimePoint aNow);
+  [[nodiscard]] bool WasFull(const EndpointState& aState) const;
   [[nodiscard]] double ScoreOf(const EndpointState& aState,
                                Duration aTypical) const;
   void NoteFailure(EndpointState& aState, TimePoint aNow) const;
@@ -97,6 +112,7 @@
   /** Only breaks ties. */
   std::minstd_rand mRandom;
   std::uint32_t mSlots = 1;
+  std::uint64_t mProbes = 0;
   std::map<std::string, EndpointState> mEndpoints;
 };
 
--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -103,7 +103,7 @@
 service_json() {
   local name="$1" slots="$2" IFS=,
   shift 2
-  printf '{"name":"%s","slots_per_endpoint":%s,"longest_deadline_ms":2000,"probes_per_second":1,"endpoints":[%s]}' \
+  printf '{"name":"%s","slots_per_endpoint":%s,"longest_deadline_ms":2000,"probes_per_second":1000,"endpoints":[%s]}' \
     "$name" "$slots" "$*"
 }
 
--- a/servers/control_api.cpp
+++ b/servers/control_api.cpp
@@ -253,9 +253,11 @@
   const TimePoint now = mWorker.Now();
   CallCounts counts;
   std::size_t inFlight = 0;
+  std::uint64_t probes = 0;
   mWorker.mState.WithEngine([&](CallEngine& aEngine) {
     counts = aEngine.Counts();
     inFlight = aEngine.InFlight();
+    probes = aEngine.Probes();
   });
   const auto counter = [](const std::string& aName, const std::string& aHelp,
                           std::uint64_t aValue) {
@@ -277,7 +279,11 @@
       counter("retries_total", "Attempts after the first.", counts.mRetries) +
       counter("passed_on_total", "Calls passed to another host.",
               counts.mPassedOn) +
-      counter("queued_total", "Calls that waited for a slot.", counts.mQueued) +
+      counter("shed_total", "Calls that a full endpoint refused.",
+              counts.mShed) +
+      counter("probes_total",
+              "Calls sent to endpoints that were full by their last report.",
+              probes) +
       counter("control_bytes_total", "Bytes that control sent and received.",
               mWorker.mEngine.Budget().TotalBytes()) +
       gauge("in_flight", "Calls in flight.", static_cast<double>(inFlight)) +
--- /dev/null
+++ b/tests/core/test_endpoint_book.cpp
@@ -0,0 +1,186 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/routing/endpoint_book.h"
+#include "tests/core/ledger_fleet.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kProbesPerSecond = 20;
+
+/** Ledgers with an endpoint book each, all of them at one full endpoint. */
+class ProbingFleet {
+ public:
+  explicit ProbingFleet(std::size_t aHosts) : mFleet(aHosts, SampleContract()) {
+    mService.mName = "orders";
+    mService.mSlotsPerEndpoint = 4;
+    mService.mProbesPerSecond = kProbesPerSecond;
+    mService.mEndpoints = {
+        Endpoint{"e0", "10.0.1.1:2000", "dc0", NodeState::Live}};
+    for (std::size_t host = 0; host < aHosts; ++host) {
+      Restart(host);
+    }
+  }
+
+  LedgerFleet& Fleet() { return mFleet; }
+
+  void Restart(std::size_t aHost) {
+    mBooks.resize(mFleet.Hosts());
+    mBooks[aHost] = std::make_unique<EndpointBook>("dc0", 1);
+    mSharing.resize(mFleet.Hosts(), 0);
+    mSharing[aHost] = SIZE_MAX;
+  }
+
+  /** Every host tries as often as it may; the endpoint refuses always. */
+  void ProbeAll() {
+    for (std::size_t host = 0; host < mFleet.Hosts(); ++host) {
+      const ShareLedger* const ledger = mFleet.Ledger(host);
+      if (ledger == nullptr) {
+        continue;
+      }
+      EndpointBook& book = *mBooks[host];
+      if (mSharing[host] != ledger->HostsSharing()) {
+        mSharing[host] = ledger->HostsSharing();
+        book.Configure(mService, mSharing[host], mFleet.Now());
+      }
+      book.Sent("e0");
+      book.Finished("e0", EndpointResult::Shed, LoadReport{4, 0, false},
+                    milliseconds(1), mFleet.Now() - seconds(1));
+      const std::uint64_t before = book.Probes();
+      while (book.Pick({}, mFleet.Now())) {
+      }
+      Count(book.Probes() - before);
+    }
+  }
+
+  [[nodiscard]] bool IsWithinBudget() const { return mTokens > -1e-6; }
+
+ private:
+  void Count(std::uint64_t aProbes) {
+    // All hosts together: the rate, and one probe a host at once.
+    const auto burst = static_cast<double>(mFleet.Hosts());
+    const std::chrono::duration<double> elapsed = mFleet.Now() - mAt;
+    mTokens = std::min(burst, mTokens + elapsed.count() * kProbesPerSecond);
+    mAt = mFleet.Now();
+    mTokens -= static_cast<double>(aProbes);
+  }
+
+  LedgerFleet mFleet;
+  Service mService;
+  std::vector<std::unique_ptr<EndpointBook>> mBooks;
+  std::vector<std::size_t> mSharing;
+  TimePoint mAt = mFleet.Now();
+  double mTokens = static_cast<double>(mFleet.Hosts());
+};
+
+TEST_CASE("probes never exceed their budget over all hosts") {
+  CHECK(rc::check("hosts join, leave, restart, freeze and part", [] {
+    const auto hosts = *rc::gen::inRange<std::size_t>(1, 7);
+    const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+        rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 60)));
+    ProbingFleet probing(hosts);
+    LedgerFleet& fleet = probing.Fleet();
+    fleet.Advance(seconds(6));
+    fleet.ExchangeAll();
+    for (const auto& [act, number] : steps) {
+      const std::size_t host = static_cast<std::size_t>(number) % hosts;
+      switch (act) {
+        case 0:
+          fleet.Restart(host);
+          probing.Restart(host);
+          break;
+        case 1:
+          fleet.PublishHostState(
+              host, number % 2 == 0 ? NodeState::Leaving : NodeState::Live);
+          break;
+        case 2:
+          fleet.Learn(host);
+          break;
+        case 3:
+          fleet.ExchangeAll();
+          break;
+        case 4:
+          fleet.SetPaused(host, number % 2 == 0);
+          break;
+        case 5:
+          fleet.SetCut(host, static_cast<std::size_t>(number / 7) % hosts,
+                       number % 3 != 0);
+          break;
+        default:
+          fleet.Advance(milliseconds(number * 100));
+          break;
+      }
+      fleet.Advance(milliseconds(10));
+      probing.ProbeAll();
+      RC_ASSERT(probing.IsWithinBudget());
+    }
+  }));
+}
+
+struct PickCase {
+  const char* mWhat;
+  LoadReport mFirst;
+  LoadReport mSecond;
+  const char* mPicked;
+};
+
+TEST_CASE("the endpoint with more free slots is picked and none that drains") {
+  const std::vector<PickCase> table = {
+      {"less load", {3, 0, false}, {1, 0, false}, "e1"},
+      {"a queue", {2, 3, false}, {3, 0, false}, "e1"},
+      {"draining", {0, 0, true}, {3, 0, false}, "e1"},
+      {"both full", {4, 0, false}, {4, 0, false}, ""},
+  };
+  Service service;
+  service.mSlotsPerEndpoint = 4;
+  service.mEndpoints = {Endpoint{"e0", "10.0.0.1:1", "dc", NodeState::Live},
+                        Endpoint{"e1", "10.0.0.1:2", "dc", NodeState::Live}};
+  const TimePoint now{seconds(100)};
+  for (const PickCase& row : table) {
+    CAPTURE(row.mWhat);
+    EndpointBook book("dc", 1);
+    book.Configure(service, 1, now);
+    for (const auto& [name, report] :
+         {std::pair("e0", row.mFirst), std::pair("e1", row.mSecond)}) {
+      book.Sent(name);
+      book.Finished(name, EndpointResult::Answered, report, milliseconds(4),
+                    now);
+    }
+    CHECK(book.Pick({}, now).value_or("") == row.mPicked);
+  }
+}
+
+TEST_CASE("an endpoint that fails is left alone for longer each time") {
+  Service service;
+  service.mSlotsPerEndpoint = 4;
+  service.mEndpoints = {Endpoint{"e0", "10.0.0.1:1", "dc", NodeState::Live}};
+  TimePoint now{seconds(100)};
+  EndpointBook book("dc", 1);
+  book.Configure(service, 1, now);
+  for (const milliseconds pause :
+       {milliseconds(50), milliseconds(100), milliseconds(200)}) {
+    book.Sent("e0");
+    book.Finished("e0", EndpointResult::Lost, std::nullopt, milliseconds(1),
+                  now);
+    CHECK_FALSE(book.Pick({}, now + pause - milliseconds(1)));
+    now += pause;
+    CHECK(book.Pick({}, now));
+  }
+  book.Sent("e0");
+  book.Finished("e0", EndpointResult::Answered, LoadReport{}, milliseconds(4),
+                now);
+  book.Sent("e0");
+  book.Finished("e0", EndpointResult::Lost, std::nullopt, milliseconds(1), now);
+  CHECK(book.Pick({}, now + milliseconds(50)));
+}
+
+}  // namespace
+}  // namespace papayawheel
