--- a/benchmarks/routing_bench.cpp
+++ b/benchmarks/routing_bench.cpp
@@ -22,25 +22,29 @@
       aName, aResult.mShort.Quantile(0.5), aResult.mShort.Quantile(0.99),
       aResult.mShort.Quantile(0.999), aResult.mLong.Quantile(0.99), refused,
       shed);
+  if (!aResult.mPriority.mAll.empty()) {
+    fmt::print(" {:8.1f} | {:8.1f} |", aResult.mPriority.Quantile(0.5),
+               aResult.mPriority.Quantile(0.99));
+  }
   if (aResult.mCrestUse > 0) {
     fmt::print(
-        " {:6.2f} | {:7.1f} | {:7.0f} |", aResult.mCrestUse,
-        aResult.mPriority.Quantile(0.99),
+        " {:6.2f} | {:7.0f} |", aResult.mCrestUse,
         std::chrono::duration<double, std::milli>(aResult.mCalmAfter).count());
   }
   fmt::print("\n");
 }
 
-void PrintHead(bool aSwing) {
-  fmt::print("| {:30} | {:7} | {:7} | {:8} | {:8} | {:7} | {:6} |{}\n", "way",
+void PrintHead(const RoutingScenario& aScenario) {
+  fmt::print("| {:30} | {:7} | {:7} | {:8} | {:8} | {:7} | {:6} |{}{}\n", "way",
              "p50 ms", "p99 ms", "p99.9 ms", "long p99", "refus %", "shed/c",
-             aSwing ? "  crest | prio99  | calm ms |" : "");
+             aScenario.mPriorityShare > 0 ? " prio p50 | prio p99 |" : "",
+             aScenario.mSwing != 1 ? "  crest | calm ms |" : "");
 }
 
 void RunAll(const std::string& aTitle, RoutingScenario aScenario,
             bool aOnlyEngine) {
   fmt::print("\n{}\n\n", aTitle);
-  PrintHead(aScenario.mSwing != 1);
+  PrintHead(aScenario);
   PrintRow("ideal single queue", RoutingModel::RunIdeal(aScenario));
   std::vector<NamedPolicy> policies;
   if (!aOnlyEngine) {
@@ -121,6 +125,15 @@
   scenarios.emplace_back("hire swing 5 times for 2 s from load 50%", scene);
   scene = hire;
   scenarios.emplace_back("hire steady load 80%", scene);
+  scene = hire;
+  scene.mLongShare = 0;
+  scene.mPriorityShare = 0.002;
+  for (const double load : {0.1, 0.8, 1.5}) {
+    scene.mLoad = load;
+    scenarios.emplace_back(
+        fmt::format("hire rare priority calls, load {:.0f}%", load * 100),
+        scene);
+  }
   for (const auto& [title, scenario] : scenarios) {
     if (only.empty() || title.find(only) != std::string::npos) {
       RunAll(title, scenario, engineOnly);
--- a/core/membership/control_budget.h
+++ b/core/membership/control_budget.h
@@ -23,10 +23,12 @@
     mTotalBytes += aBytes;
   }
 
-  /** Whether anything that can wait may be sent now. */
-  bool MaySend(TimePoint aNow) {
+  /** Whether a message that can wait may be sent now. Half of what a second
+   * brings is left for answering what others send.
+   * @param aPending bytes of messages that were sent and not yet counted. */
+  bool MaySend(std::size_t aPending, TimePoint aNow) {
     Refill(aNow);
-    return mAvailable > 0;
+    return mAvailable - static_cast<double>(aPending) > mBytesPerSecond / 2;
   }
 
   [[nodiscard]] std::uint64_t TotalBytes() const { return mTotalBytes; }
--- a/core/membership/control_engine.cpp
+++ b/core/membership/control_engine.cpp
@@ -16,15 +16,21 @@
 /** Hosts to which one host pushes a new configuration. */
 constexpr std::size_t kPushFanOut = 2;
 
+/** Hosts from the settings that a new host asks first; those of the
+ * configuration follow. */
+constexpr std::size_t kPeersAsked = 3;
+
 constexpr std::chrono::seconds kWatchWait{30};
 constexpr std::chrono::seconds kReadRetry{1};
 
 /** Shortest time between two heartbeats with the same host. */
 constexpr std::chrono::seconds kLeastPeriod{1};
 
-/** The period grows by this much with every host, so that the cost of
- * heartbeats does not grow with the fleet. */
-constexpr std::chrono::milliseconds kPeriodPerHost{100};
+/** Part of the budget that heartbeats may take; the rest is for changes. */
+constexpr double kHeartbeatShare = 0.75;
+
+/** About what one exchange of heartbeats takes, with headers. */
+constexpr std::size_t kExchangeBytes = 1200;
 
 /** A refused host is asked again this often, to keep the proof fresh. */
 constexpr std::chrono::seconds kRefusedPeriod{1};
@@ -78,22 +84,32 @@
     return;
   }
   mAskedSettings = true;
-  for (const std::string& address : mSettings.mPeers) {
-    if (address != mSettings.mAddress) {
-      aActions.emplace_back(SendHeartbeatAction{"", address});
-    }
+  std::vector<std::string> addresses = mSettings.mPeers;
+  std::erase(addresses, mSettings.mAddress);
+  std::shuffle(addresses.begin(), addresses.end(), mRandom);
+  addresses.resize(std::min(addresses.size(), kPeersAsked));
+  for (const std::string& address : addresses) {
+    aActions.emplace_back(SendHeartbeatAction{"", address});
   }
 }
 
 void ControlEngine::SendHeartbeats(TimePoint aNow, ControlActions& aActions) {
-  for (auto& [name, peer] : mPeers) {
-    if (peer.mBusy || aNow < peer.mNextHeartbeat) {
-      continue;
+  std::vector<std::pair<TimePoint, std::string>> due;
+  for (const auto& [name, peer] : mPeers) {
+    if (!peer.mBusy && peer.mNextHeartbeat <= aNow) {
+      due.emplace_back(peer.mNextHeartbeat, name);
     }
-    if (!mBudget.MaySend(aNow)) {
+  }
+  // Whoever has waited longest goes first, so that a small budget reaches
+  // every host in turn.
+  std::sort(due.begin(), due.end());
+  std::size_t pending = 0;
+  for (const auto& [since, name] : due) {
+    if (!mBudget.MaySend(pending, aNow)) {
       return;
     }
-    peer.mBusy = true;
+    pending += kExchangeBytes;
+    mPeers.at(name).mBusy = true;
     aActions.emplace_back(
         SendHeartbeatAction{name, mStore.InForce()->mHosts.at(name).mAddress});
   }
@@ -285,8 +301,13 @@
 }
 
 Duration ControlEngine::HeartbeatPeriod() const {
-  return std::max<Duration>(
-      kLeastPeriod, kPeriodPerHost * static_cast<std::int64_t>(mPeers.size()));
+  // Every host sends to and is sent to by every other once a period.
+  const double bytes =
+      2.0 * static_cast<double>(mPeers.size()) * kExchangeBytes;
+  const std::chrono::duration<double> paced(
+      bytes / (mSettings.mBytesPerSecond * kHeartbeatShare));
+  return std::max<Duration>(kLeastPeriod,
+                            std::chrono::duration_cast<Duration>(paced));
 }
 
 void ControlEngine::AuditBeliefs(TimePoint aNow) {
--- a/tests/core/control_fleet.cpp
+++ b/tests/core/control_fleet.cpp
@@ -21,8 +21,10 @@
 }  // namespace
 
 ControlFleet::ControlFleet(std::size_t aHosts, std::size_t aDataCentres,
-                           std::uint32_t aSeed)
-    : mRandom(aSeed), mDataCentres(aDataCentres) {
+                           std::uint32_t aSeed, double aBytesPerSecond)
+    : mRandom(aSeed),
+      mDataCentres(aDataCentres),
+      mBytesPerSecond(aBytesPerSecond) {
   mNodes.resize(aHosts);
   std::string hosts;
   for (std::size_t host = 0; host < aHosts; ++host) {
@@ -108,6 +110,7 @@
   for (std::size_t peer = 0; peer < Hosts(); ++peer) {
     settings.mPeers.push_back(AddressOf(peer));
   }
+  settings.mBytesPerSecond = mBytesPerSecond;
   settings.mSeed = static_cast<std::uint32_t>(mRandom());
   node.mAudit = std::make_unique<AuditTrail>(mClock, 10);
   node.mEngine =
--- a/tests/core/control_fleet.h
+++ b/tests/core/control_fleet.h
@@ -28,7 +28,7 @@
   };
 
   ControlFleet(std::size_t aHosts, std::size_t aDataCentres,
-               std::uint32_t aSeed);
+               std::uint32_t aSeed, double aBytesPerSecond = 29'000);
 
   void Advance(Duration aBy);
   /** Operators publish a change; an invalid one if asked for. */
@@ -104,6 +104,7 @@
   FakeClock mClock;
   std::mt19937 mRandom;
   std::size_t mDataCentres;
+  double mBytesPerSecond;
   std::vector<Node> mNodes;
   std::multimap<TimePoint, Event> mEvents;
   std::vector<Watch> mWatches;
--- a/tests/core/test_control_engine.cpp
+++ b/tests/core/test_control_engine.cpp
@@ -147,18 +147,20 @@
   const char* mWhat;
   std::size_t mHosts;
   std::size_t mDataCentres;
+  double mBytesPerSecond;
   seconds mWithin;
 };
 
 TEST_CASE("a change is in force everywhere in time and costs few reads") {
   const std::vector<SpreadCase> table = {
-      {"shingle network", 20, 4, seconds(2)},
-      {"co-operative", 18, 3, seconds(2)},
-      {"target", 105, 7, seconds(10)},
+      {"shingle network", 20, 4, 29'000, seconds(2)},
+      {"co-operative", 18, 3, 29'000, seconds(2)},
+      {"target", 105, 7, 29'000, seconds(10)},
+      {"small budget", 20, 4, 4000, seconds(10)},
   };
   for (const SpreadCase& row : table) {
     CAPTURE(row.mWhat);
-    ControlFleet fleet(row.mHosts, row.mDataCentres, 1);
+    ControlFleet fleet(row.mHosts, row.mDataCentres, 1, row.mBytesPerSecond);
     fleet.Advance(seconds(30));
     const std::uint64_t calls = fleet.PlatformCalls();
     fleet.Publish(true);
@@ -175,7 +177,8 @@
     const double elapsed = 152;
     MESSAGE(std::string(row.mWhat) << ": most bytes a second on one host "
                                    << static_cast<double>(most) / elapsed);
-    CHECK(static_cast<double>(most) / elapsed < 29'000);
+    // The first second's budget may be spent at once.
+    CHECK(static_cast<double>(most) <= row.mBytesPerSecond * (elapsed + 1));
   }
 }
 
