--- a/core/config/address.cpp
+++ b/core/config/address.cpp
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 
-#include <charconv>
+#include <string_view>
+
+#include "core/base/parse_number.h"
 
 namespace papayawheel {
 
@@ -17,12 +19,12 @@
   if (inet_pton(AF_INET, address.mIp.c_str(), &number) != 1) {
     return std::nullopt;
   }
-  const char* const end = aText.data() + aText.size();
-  const auto [rest, fault] =
-      std::from_chars(aText.data() + colon + 1, end, address.mPort);
-  if (fault != std::errc() || rest != end || address.mPort == 0) {
+  const auto port =
+      ParseNumber<std::uint16_t>(std::string_view(aText).substr(colon + 1));
+  if (!port || *port == 0) {
     return std::nullopt;
   }
+  address.mPort = *port;
   return address;
 }
 
--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -10,9 +10,6 @@
 namespace papayawheel {
 namespace {
 
-/** Hosts that a call is passed to for their rights, at most. */
-constexpr std::size_t kMostHomesTried = 3;
-
 /** Endpoints that a call is sent to, at most. */
 constexpr std::uint32_t kMostAttempts = 3;
 
@@ -50,31 +47,6 @@
        aActions);
 }
 
-bool CallEngine::PassToHome(CallId aId, Call& aCall, TimePoint aNow,
-                            CallActions& aActions) {
-  const std::string& customer = aCall.mRequest.mCustomer;
-  const ShareSplit* const split = mLedger.SplitOf(customer);
-  if (split == nullptr || aCall.mTriedHosts.size() >= kMostHomesTried ||
-      aCall.mDeadline <= aNow) {
-    return false;
-  }
-  std::vector<std::string> skipped = aCall.mTriedHosts;
-  skipped.push_back(mIdentity.mName);
-  for (const std::string& home : split->mHomes) {
-    if (mLedger.Evidence().IsDead(home, aNow)) {
-      skipped.push_back(home);
-    }
-  }
-  const auto home = mHomes.Best(customer, *split, skipped, aNow);
-  if (!home) {
-    return false;
-  }
-  mHomes.Passed(customer, *home, split->ShareOf(*home), aNow);
-  aCall.mTriedHosts.push_back(*home);
-  PassTo(aId, aCall, *home, HopReason::Rights, aNow, aActions);
-  return true;
-}
-
 void CallEngine::Dispatch(CallId aId, Call& aCall, TimePoint aNow,
                           CallActions& aActions) {
   if (HoldSuspect(aId, aCall, aNow, aActions)) {
--- /dev/null
+++ b/core/entry/call_passing.cpp
@@ -0,0 +1,125 @@
+#include <algorithm>
+#include <utility>
+
+#include "core/entry/call_engine.h"
+
+namespace papayawheel {
+namespace {
+
+/** Hosts that a call is passed to for their rights, at most. */
+constexpr std::size_t kMostHomesTried = 3;
+
+/** Suggested wait when the host that tries a suspect cannot be reached. */
+constexpr std::chrono::milliseconds kSuspectRetry{1000};
+
+}  // namespace
+
+bool CallEngine::PassToHome(CallId aId, Call& aCall, TimePoint aNow,
+                            CallActions& aActions) {
+  const std::string& customer = aCall.mRequest.mCustomer;
+  const ShareSplit* const split = mLedger.SplitOf(customer);
+  if (split == nullptr || aCall.mTriedHosts.size() >= kMostHomesTried ||
+      aCall.mDeadline <= aNow) {
+    return false;
+  }
+  std::vector<std::string> skipped = aCall.mTriedHosts;
+  skipped.push_back(mIdentity.mName);
+  for (const std::string& home : split->mHomes) {
+    if (mLedger.Evidence().IsDead(home, aNow)) {
+      skipped.push_back(home);
+    }
+  }
+  const auto home = mHomes.Best(customer, *split, skipped, aNow);
+  if (!home) {
+    return false;
+  }
+  mHomes.Passed(customer, *home, split->ShareOf(*home), aNow);
+  aCall.mTriedHosts.push_back(*home);
+  PassTo(aId, aCall, *home, HopReason::Rights, aNow, aActions);
+  return true;
+}
+
+void CallEngine::PassToKeyOwner(CallId aId, Call& aCall, const RequestKey& aKey,
+                                TimePoint aNow, CallActions& aActions) {
+  const auto owner = mConfiguration->mHosts.find(aKey.mHost);
+  if (aCall.mRequest.mHop != HopReason::None ||
+      owner == mConfiguration->mHosts.end() ||
+      mLedger.Evidence().IsDead(aKey.mHost, aNow)) {
+    Fail(aId, ErrorKind::KeyOwnerGone, Duration::zero(), aActions);
+    return;
+  }
+  PassTo(aId, aCall, aKey.mHost, HopReason::KeyOwner, aNow, aActions);
+}
+
+void CallEngine::PassTo(CallId aId, Call& aCall, const std::string& aHost,
+                        HopReason aHop, TimePoint aNow, CallActions& aActions) {
+  ++mCounts.mPassedOn;
+  aCall.mState = CallState::AtHost;
+  aCall.mTarget = aHost;
+  aCall.mPassedFor = aHop;
+  aActions.emplace_back(SendToHostAction{
+      aId, aHost, mConfiguration->mHosts.at(aHost).mAddress,
+      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow), aHop});
+}
+
+CallActions CallEngine::HostReplied(CallId aId, const HostReply& aReply,
+                                    TimePoint aNow) {
+  CallActions actions;
+  mNow = aNow;
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return actions;
+  }
+  Call& call = found->second;
+  using Result = HostReply::Result;
+  const HopReason hop = call.mPassedFor;
+  if (aReply.mResult == Result::Answered && aReply.mResponse != nullptr) {
+    Succeed(aId, aReply.mResponse, actions);
+    return actions;
+  }
+  if (aReply.mResult != Result::Answered && hop == HopReason::KeyOwner) {
+    const bool gone = aReply.mResult == Result::Refused;
+    Fail(aId, gone ? ErrorKind::KeyOwnerGone : ErrorKind::KeyOwnerUnreachable,
+         Duration::zero(), actions);
+    return actions;
+  }
+  if (aReply.mResult == Result::TimedOut) {
+    Fail(aId, ErrorKind::TimedOut, Duration::zero(), actions);
+    return actions;
+  }
+  if (aReply.mResult == Result::Lost) {
+    call.mMayHaveRun = true;
+    if (!call.mIdempotent || hop == HopReason::Suspect) {
+      Fail(aId, ErrorKind::EndpointLost, Duration::zero(), actions);
+      return actions;
+    }
+  }
+  if (aReply.mResult != Result::Answered && hop == HopReason::Suspect) {
+    Fail(aId, ErrorKind::Quarantined, kSuspectRetry, actions);
+    return actions;
+  }
+  const bool exhausted = aReply.mError == ErrorKind::OverRate ||
+                         aReply.mError == ErrorKind::OverConcurrency ||
+                         aReply.mError == ErrorKind::HostNotReady;
+  if (aReply.mResult == Result::Answered &&
+      (hop != HopReason::Rights || !exhausted)) {
+    const ErrorKind fallback = aReply.mOutcome == Outcome::NotRun
+                                   ? ErrorKind::NeverSent
+                                   : ErrorKind::EndpointLost;
+    Fail(aId, aReply.mError.value_or(fallback), aReply.mRetryAfter, actions);
+    return actions;
+  }
+  const Duration pause =
+      std::max<Duration>(aReply.mRetryAfter, std::chrono::milliseconds(1));
+  const std::string& customer = call.mRequest.mCustomer;
+  if (const ShareSplit* const split = mLedger.SplitOf(customer)) {
+    mHomes.Refused(customer, call.mTarget, split->ShareOf(call.mTarget), pause,
+                   aNow);
+  }
+  if (!PassToHome(aId, call, aNow, actions)) {
+    Fail(aId, aReply.mError.value_or(ErrorKind::OverRate), pause, actions);
+  }
+  return actions;
+}
+
+}  // namespace papayawheel
--- a/core/limits/share_ledger.cpp
+++ b/core/limits/share_ledger.cpp
@@ -29,6 +29,7 @@
   epoch.mConfiguration = std::move(aConfiguration);
   epoch.mAppliedAt = aNow;
   mEpochs.push_back(std::move(epoch));
+  CountHostsSharing();
   EndTakeovers(aNow);
   RefreshOwnAccounts(aNow);
   Tick(aNow);
@@ -59,6 +60,7 @@
   if (!IsSettled() && (HasSettled(aNow) || (mIsFresh && IsKnownSettled()))) {
     mEpochs.erase(mEpochs.begin(), mEpochs.end() - 1);
     mIsFresh = false;
+    CountHostsSharing();
     RefreshOwnAccounts(aNow);
   }
   RefreshTakeovers(aNow);
@@ -154,17 +156,14 @@
       });
 }
 
-std::size_t ShareLedger::HostsSharing() const {
-  if (mIsFresh) {
-    return 0;
-  }
+void ShareLedger::CountHostsSharing() {
   std::set<std::string> hosts;
   for (const Epoch& epoch : mEpochs) {
     for (const auto& [name, host] : epoch.mConfiguration->mHosts) {
       hosts.insert(name);
     }
   }
-  return hosts.size();
+  mHostsSharing = mIsFresh ? 0 : hosts.size();
 }
 
 const ShareSplit* ShareLedger::SplitOf(const std::string& aCustomer) const {
--- a/core/limits/share_ledger.h
+++ b/core/limits/share_ledger.h
@@ -99,7 +99,7 @@
 
   /** Hosts that may use parts of a common budget now, under any revision that
    * some host may still obey; 0 while this host does not know. */
-  [[nodiscard]] std::size_t HostsSharing() const;
+  [[nodiscard]] std::size_t HostsSharing() const { return mHostsSharing; }
 
   /** The split of a customer's contract in force; nothing without contract. */
   [[nodiscard]] const ShareSplit* SplitOf(const std::string& aCustomer) const;
@@ -133,6 +133,7 @@
 
   [[nodiscard]] Share ShareInForce(const std::string& aCustomer,
                                    const std::string& aOwner) const;
+  void CountHostsSharing();
   void RefreshOwnAccounts(TimePoint aNow);
   void SetAccount(const std::string& aCustomer, const std::string& aOwner,
                   const Share& aLimit, TimePoint aOpensAt, TimePoint aNow);
@@ -155,6 +156,7 @@
   std::string mHost;
   TimePoint mStartedAt;
   std::vector<Epoch> mEpochs;
+  std::size_t mHostsSharing = 0;
   /** No revision has been settled since the process started. */
   bool mIsFresh = true;
   std::map<std::string, LedgerReport> mReports;
--- a/core/outcome/request_key.cpp
+++ b/core/outcome/request_key.cpp
@@ -2,9 +2,10 @@
 
 #include <fmt/format.h>
 
-#include <charconv>
 #include <string_view>
 
+#include "core/base/parse_number.h"
+
 namespace papayawheel {
 namespace {
 
@@ -24,16 +25,6 @@
   return field;
 }
 
-std::optional<std::uint64_t> ParseNumber(std::string_view aText, int aBase) {
-  std::uint64_t number = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto [rest, fault] = std::from_chars(aText.data(), end, number, aBase);
-  if (fault != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 }  // namespace
 
 std::string WriteKeyPrefix(const std::string& aHost, std::uint64_t aIncarnation,
@@ -52,8 +43,8 @@
   if (!host || !incarnation || !mintedAt || rest.empty()) {
     return std::nullopt;
   }
-  const auto incarnationNumber = ParseNumber(*incarnation, 16);
-  const auto mintedSeconds = ParseNumber(*mintedAt, 10);
+  const auto incarnationNumber = ParseNumber<std::uint64_t>(*incarnation, 16);
+  const auto mintedSeconds = ParseNumber<std::uint64_t>(*mintedAt);
   if (!incarnationNumber || !mintedSeconds ||
       *mintedSeconds > kMaxMintedSeconds) {
     return std::nullopt;
--- a/drivers/program_settings.cpp
+++ b/drivers/program_settings.cpp
@@ -5,13 +5,13 @@
 #include <algorithm>
 #include <boost/program_options.hpp>
 #include <cctype>
-#include <charconv>
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
 #include <map>
 #include <utility>
 
+#include "core/base/parse_number.h"
 #include "core/config/address.h"
 #include "drivers/log.h"
 
@@ -33,16 +33,6 @@
   return variable;
 }
 
-std::optional<std::int64_t> ParseWhole(const std::string& aText) {
-  std::int64_t number = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto [rest, fault] = std::from_chars(aText.data(), end, number);
-  if (fault != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 }  // namespace
 
 class ProgramSettings::Impl {
@@ -122,7 +112,7 @@
   }
   Add(aName, std::move(text), aHelp,
       [aLeast, aMost](const std::string& aValue) -> std::optional<std::string> {
-        const auto number = ParseWhole(aValue);
+        const auto number = ParseNumber<std::int64_t>(aValue);
         if (number && *number >= aLeast && *number <= aMost) {
           return std::nullopt;
         }
@@ -186,7 +176,7 @@
 }
 
 std::int64_t ProgramSettings::Number(const std::string& aName) const {
-  return ParseWhole(Text(aName)).value_or(0);
+  return ParseNumber<std::int64_t>(Text(aName)).value_or(0);
 }
 
 std::vector<std::string> ProgramSettings::List(const std::string& aName) const {
--- a/misc/run_tests.sh
+++ b/misc/run_tests.sh
@@ -40,5 +40,7 @@
   [ "$result" -ne 0 ] && tail -40 build/test.out
   note "$name" "$result"
 done
+misc/check_promises.sh
+note check_promises $?
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/servers/call_messages.cpp
+++ b/servers/call_messages.cpp
@@ -5,11 +5,11 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
-#include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 #include <string_view>
 
+#include "core/base/parse_number.h"
 #include "core/base/rendezvous.h"
 #include "servers/header_names.h"
 
@@ -47,16 +47,6 @@
   return kept;
 }
 
-std::optional<std::int64_t> ParseWhole(const std::string& aText) {
-  std::int64_t number = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto [rest, fault] = std::from_chars(aText.data(), end, number);
-  if (fault != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 std::string Millis(Duration aDuration) {
   // Rounded up, so that a caller who comes back on time is not too early.
   const auto millis = std::chrono::ceil<std::chrono::milliseconds>(aDuration);
@@ -117,7 +107,7 @@
     return std::nullopt;
   }
   if (const auto text = aExchange.Header(header_names::kDeadline)) {
-    const auto millis = ParseWhole(*text);
+    const auto millis = ParseNumber<std::int64_t>(*text);
     if (!millis || *millis < 0 || *millis > kMaxPatience.count()) {
       aReason =
           fmt::format("header \"{}\": \"{}\" must be from 0 to {}",
@@ -217,7 +207,8 @@
   reply.mOutcome = OutcomeNamed(aResult.Header(header_names::kOutcome))
                        .value_or(Outcome::Unknown);
   reply.mError = ErrorKindNamed(aResult.Header(header_names::kError));
-  const auto retryAfter = ParseWhole(aResult.Header(header_names::kRetryAfter));
+  const auto retryAfter =
+      ParseNumber<std::int64_t>(aResult.Header(header_names::kRetryAfter));
   reply.mRetryAfter = std::chrono::milliseconds(retryAfter.value_or(0));
   if (reply.mOutcome == Outcome::Answered && !reply.mError) {
     reply.mResponse = ReadResponse(aResult);
@@ -259,7 +250,7 @@
     reply.mHeaders.emplace_back(header_names::kRetryAfter, millis);
     reply.mHeaders.emplace_back("Retry-After",
                                 fmt::format("{}", seconds.count()));
-    body["retry_after_ms"] = *ParseWhole(millis);
+    body["retry_after_ms"] = *ParseNumber<std::int64_t>(millis);
   } else if (answer.mComeBack == ComeBack::AskOutcome) {
     body["ask"] = "/papayawheel/v1/outcome?key=...";
   }
--- a/servers/query.cpp
+++ b/servers/query.cpp
@@ -1,6 +1,6 @@
 #include "servers/query.h"
 
-#include <charconv>
+#include "core/base/parse_number.h"
 
 namespace papayawheel {
 
@@ -24,11 +24,7 @@
 
 std::uint64_t QueryNumber(const std::string& aTarget,
                           const std::string& aName) {
-  const std::string text = QueryField(aTarget, aName);
-  std::uint64_t number = 0;
-  const char* const end = text.data() + text.size();
-  const auto [rest, fault] = std::from_chars(text.data(), end, number);
-  return fault == std::errc() && rest == end ? number : 0;
+  return ParseNumber<std::uint64_t>(QueryField(aTarget, aName)).value_or(0);
 }
 
 }  // namespace papayawheel
--- a/servers/traffic_worker.cpp
+++ b/servers/traffic_worker.cpp
@@ -178,37 +178,30 @@
 }
 
 void TrafficWorker::SendToEndpoint(const SendToEndpointAction& aAction) {
-  const auto found = mCalls.find(aAction.mCall);
-  if (found == mCalls.end()) {
-    return;
-  }
-  Call& call = found->second;
-  call.mSentAt = mState.TimeSource().Now();
   const CallId id = aAction.mCall;
-  call.mSending =
-      mClient.Send(EndpointCall(aAction, call.mRequest, call.mHeaders,
-                                call.mExchange->Body()),
-                   [this, id](const HttpResult& aResult) {
-                     NoteReturned(id);
-                     const EndpointReply reply = ReadEndpointReply(aResult);
-                     Decide([&](CallEngine& aEngine, TimePoint aNow) {
-                       return aEngine.EndpointReplied(id, reply, aNow);
-                     });
-                   });
+  StartSending(
+      id,
+      [&](const Call& aCall) {
+        return EndpointCall(aAction, aCall.mRequest, aCall.mHeaders,
+                            aCall.mExchange->Body());
+      },
+      [this, id](const HttpResult& aResult) {
+        const EndpointReply reply = ReadEndpointReply(aResult);
+        Decide([&](CallEngine& aEngine, TimePoint aNow) {
+          return aEngine.EndpointReplied(id, reply, aNow);
+        });
+      });
 }
 
 void TrafficWorker::SendToHost(const SendToHostAction& aAction) {
-  const auto found = mCalls.find(aAction.mCall);
-  if (found == mCalls.end()) {
-    return;
-  }
-  Call& call = found->second;
-  call.mSentAt = mState.TimeSource().Now();
   const CallId id = aAction.mCall;
-  call.mSending = mClient.Send(
-      HostCall(aAction, call.mRequest, call.mHeaders, call.mExchange->Body()),
+  StartSending(
+      id,
+      [&](const Call& aCall) {
+        return HostCall(aAction, aCall.mRequest, aCall.mHeaders,
+                        aCall.mExchange->Body());
+      },
       [this, id](const HttpResult& aResult) {
-        NoteReturned(id);
         const HostReply reply = ReadHostReply(aResult);
         Decide([&](CallEngine& aEngine, TimePoint aNow) {
           return aEngine.HostReplied(id, reply, aNow);
@@ -216,6 +209,23 @@
       });
 }
 
+void TrafficWorker::StartSending(
+    CallId aId, const std::function<HttpCall(const Call&)>& aMessage,
+    HttpClient::Callback aOnResult) {
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  call.mSentAt = mState.TimeSource().Now();
+  call.mSending = mClient.Send(
+      aMessage(call),
+      [this, aId, onResult = std::move(aOnResult)](HttpResult aResult) {
+        NoteReturned(aId);
+        onResult(std::move(aResult));
+      });
+}
+
 void TrafficWorker::NoteReturned(CallId aId) {
   const auto found = mCalls.find(aId);
   if (found != mCalls.end()) {
--- a/servers/traffic_worker.h
+++ b/servers/traffic_worker.h
@@ -79,6 +79,10 @@
   void Answer(const AnswerAction& aAction);
   void SendToEndpoint(const SendToEndpointAction& aAction);
   void SendToHost(const SendToHostAction& aAction);
+  /** Sends the message of a call that this worker still holds. */
+  void StartSending(CallId aId,
+                    const std::function<HttpCall(const Call&)>& aMessage,
+                    HttpClient::Callback aOnResult);
   void Cancel(const CancelAction& aAction);
   void NoteReturned(CallId aId);
   /** Runs an event on the engine and delivers what it decides. */
