--- a/misc/measure.sh
+++ b/misc/measure.sh
@@ -53,7 +53,7 @@
 
 # Processor time and added latency by calls a second, one host, one thread.
 measure_calls() {
-  echo "commit,calls_per_s,cpu_us_per_call,added_p50_ms,added_p99_ms,rss_kb" \
+  echo "commit,calls_per_s,cpu_us_per_call,cpu_ms_per_s,added_p50_ms,added_p99_ms,rss_kb" \
     >"$data/calls.csv"
   start_hosts 1
   local endpoints=() n
@@ -75,13 +75,13 @@
     before=$(cpu_ms "$pid")
     load "rate$rate" 5000 --rate "$rate" >/dev/null
     after=$(cpu_ms "$pid")
-    echo "$commit,$rate,$(awk -v c="$(minus "$after" "$before")" -v n="$(field "rate$rate" sent)" 'BEGIN {printf "%.1f", c * 1000 / n}'),$(field "rate$rate" added_p50_ms),$(field "rate$rate" added_p99_ms),$(rss_kb "$pid")" |
+    echo "$commit,$rate,$(awk -v c="$(minus "$after" "$before")" -v n="$(field "rate$rate" sent)" 'BEGIN {printf "%.1f,%.0f", c * 1000 / n, c / 5}'),$(field "rate$rate" added_p50_ms),$(field "rate$rate" added_p99_ms),$(rss_kb "$pid")" |
       tee -a "$data/calls.csv"
   done
   # The same load without the system, for what the machine itself adds.
   "$bin/papayawheel-standin-caller" --direct "${endpoint_addresses[0]}" \
     --rate 1000 --duration-ms 5000 >"$work/direct.result"
-  echo "$commit,direct 1000,,$(field direct added_p50_ms),$(field direct added_p99_ms)," |
+  echo "$commit,direct 1000,,,$(field direct added_p50_ms),$(field direct added_p99_ms)," |
     tee -a "$data/calls.csv"
   reset_fleet
 }
