--- a/servers/traffic_worker.cpp
+++ b/servers/traffic_worker.cpp
@@ -74,7 +74,7 @@
     crashes = aEngine.TakeCrashReports();
   });
   if (!crashes.empty()) {
-    // The other hosts are told before the caller, who may send the request
+    // The other hosts are told at once, since the caller may send the request
     // again through one of them.
     mHooks.mOnCrashes(std::move(crashes));
   }
--- /dev/null
+++ b/tests/core/schedule_step.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstddef>
+#include <ostream>
+#include <tuple>
+
+namespace papayawheel {
+
+/** One step of a schedule of faults. */
+template <typename Act>
+struct ScheduleStep {
+  Act mAct;
+  /** Two numbers that the act may use to choose hosts or requests. */
+  std::size_t mFirst = 0;
+  std::size_t mSecond = 0;
+  std::chrono::milliseconds mTime{0};
+};
+
+template <typename Act>
+void showValue(  // NOLINT(readability-identifier-naming)
+    const ScheduleStep<Act>& aStep, std::ostream& aOut) {
+  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
+       << aStep.mSecond << "," << aStep.mTime.count() << "}";
+}
+
+/** Draws a step.
+ * @param aActs number of acts.
+ * @param aMoreOfLast how many times more often the last act is drawn.
+ * @param aNumbers bound of the two numbers.
+ * @param aMost bound of the time. */
+template <typename Act>
+rc::Gen<ScheduleStep<Act>> AnyStep(int aActs, int aMoreOfLast,
+                                   std::size_t aNumbers,
+                                   std::chrono::milliseconds aMost) {
+  return rc::gen::map(
+      rc::gen::tuple(rc::gen::inRange(0, aActs + aMoreOfLast),
+                     rc::gen::inRange<std::size_t>(0, aNumbers),
+                     rc::gen::inRange<std::size_t>(0, aNumbers),
+                     rc::gen::inRange<std::int64_t>(0, aMost.count())),
+      [aActs](const std::tuple<int, std::size_t, std::size_t, std::int64_t>&
+                  aParts) {
+        const int act = std::min(std::get<0>(aParts), aActs - 1);
+        return ScheduleStep<Act>{
+            static_cast<Act>(act), std::get<1>(aParts), std::get<2>(aParts),
+            std::chrono::milliseconds(std::get<3>(aParts))};
+      });
+}
+
+}  // namespace papayawheel
--- a/tests/core/test_call_engine.cpp
+++ b/tests/core/test_call_engine.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "tests/core/engine_fleet.h"
+#include "tests/core/schedule_step.h"
 
 namespace papayawheel {
 namespace {
@@ -16,30 +17,7 @@
 enum class Act { Order, Query, Resend, Kill, Restart, Pause, Resume, Wait };
 constexpr int kActs = 8;
 
-struct Step {
-  Act mAct;
-  std::size_t mFirst;
-  std::size_t mSecond;
-  milliseconds mTime;
-};
-
-void showValue(const Step& aStep,  // NOLINT(readability-identifier-naming)
-               std::ostream& aOut) {
-  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
-       << aStep.mSecond << "," << aStep.mTime.count() << "}";
-}
-
-rc::Gen<Step> AnyStep() {
-  return rc::gen::map(
-      rc::gen::tuple(rc::gen::inRange(0, kActs), rc::gen::inRange(0, 16),
-                     rc::gen::inRange(0, 16), rc::gen::inRange(0, 2000)),
-      [](const std::tuple<int, int, int, int>& aParts) {
-        return Step{static_cast<Act>(std::get<0>(aParts)),
-                    static_cast<std::size_t>(std::get<1>(aParts)),
-                    static_cast<std::size_t>(std::get<2>(aParts)),
-                    milliseconds(std::get<3>(aParts))};
-      });
-}
+using Step = ScheduleStep<Act>;
 
 void Apply(EngineFleet& aFleet, const Step& aStep) {
   const std::size_t first = aStep.mFirst % aFleet.Hosts();
@@ -77,7 +55,8 @@
   CHECK(rc::check("any schedule of faults and resends", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const auto trouble = *rc::gen::element(0, 20, 60);
-    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        AnyStep<Act>(kActs, 0, 16, milliseconds(2000)));
     EngineFleet fleet(3, 3, seed);
     fleet.SetTrouble(trouble);
     for (const Step& step : steps) {
--- a/tests/core/test_control_engine.cpp
+++ b/tests/core/test_control_engine.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "tests/core/control_fleet.h"
+#include "tests/core/schedule_step.h"
 
 namespace papayawheel {
 namespace {
@@ -29,28 +30,7 @@
 };
 constexpr int kActs = 12;
 
-struct Step {
-  Act mAct;
-  std::size_t mFirst;
-  milliseconds mTime;
-};
-
-void showValue(const Step& aStep,  // NOLINT(readability-identifier-naming)
-               std::ostream& aOut) {
-  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
-       << aStep.mTime.count() << "}";
-}
-
-rc::Gen<Step> AnyStep() {
-  return rc::gen::map(
-      rc::gen::tuple(rc::gen::inRange(0, kActs), rc::gen::inRange(0, 6),
-                     rc::gen::inRange(0, 4000)),
-      [](const std::tuple<int, int, int>& aParts) {
-        return Step{static_cast<Act>(std::get<0>(aParts)),
-                    static_cast<std::size_t>(std::get<1>(aParts)),
-                    milliseconds(std::get<2>(aParts))};
-      });
-}
+using Step = ScheduleStep<Act>;
 
 void Apply(ControlFleet& aFleet, const Step& aStep) {
   const std::size_t host = aStep.mFirst % aFleet.Hosts();
@@ -100,7 +80,8 @@
   CHECK(rc::check("any schedule of faults", [] {
     const auto seed = *rc::gen::arbitrary<std::uint32_t>();
     const auto loss = *rc::gen::element(0, 30);
-    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        AnyStep<Act>(kActs, 0, 6, milliseconds(4000)));
     ControlFleet fleet(6, 3, seed);
     fleet.SetLoss(loss);
     for (const Step& step : steps) {
--- a/tests/core/test_share_ledger.cpp
+++ b/tests/core/test_share_ledger.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "tests/core/ledger_fleet.h"
+#include "tests/core/schedule_step.h"
 
 namespace papayawheel {
 namespace {
@@ -37,32 +38,7 @@
 /** Waits are drawn more often, so that leases run out within a schedule. */
 constexpr int kMoreWaits = 5;
 
-struct Step {
-  Act mAct;
-  std::size_t mFirst;
-  std::size_t mSecond;
-  milliseconds mTime;
-};
-
-void showValue(const Step& aStep,  // NOLINT(readability-identifier-naming)
-               std::ostream& aOut) {
-  aOut << "{" << static_cast<int>(aStep.mAct) << "," << aStep.mFirst << ","
-       << aStep.mSecond << "," << aStep.mTime.count() << "}";
-}
-
-rc::Gen<Step> AnyStep() {
-  return rc::gen::map(
-      rc::gen::tuple(rc::gen::inRange(0, kActs + kMoreWaits),
-                     rc::gen::inRange(0, 8), rc::gen::inRange(0, 8),
-                     rc::gen::inRange(1, 6000)),
-      [](const std::tuple<int, int, int, int>& aParts) {
-        const int act = std::min(std::get<0>(aParts), kActs - 1);
-        return Step{static_cast<Act>(act),
-                    static_cast<std::size_t>(std::get<1>(aParts)),
-                    static_cast<std::size_t>(std::get<2>(aParts)),
-                    milliseconds(std::get<3>(aParts))};
-      });
-}
+using Step = ScheduleStep<Act>;
 
 void Apply(LedgerFleet& aFleet, const Step& aStep, bool aChangeContracts) {
   const std::size_t first = aStep.mFirst % aFleet.Hosts();
@@ -155,7 +131,8 @@
 TEST_CASE("hosts together never admit more than the contract") {
   CHECK(rc::check("any schedule of faults and host lists", [] {
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 7);
-    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        AnyStep<Act>(kActs, kMoreWaits, 8, milliseconds(6000)));
     // A slow rate shows tokens that appear from nowhere.
     const auto rate = *rc::gen::element(2.0, 100.0);
     CheckSchedule(hosts, rate, steps, false);
@@ -165,7 +142,8 @@
 TEST_CASE("hosts together never admit more than the largest contract") {
   CHECK(rc::check("any schedule that also changes the contract", [] {
     const auto hosts = *rc::gen::inRange<std::size_t>(1, 7);
-    const auto steps = *rc::gen::container<std::vector<Step>>(AnyStep());
+    const auto steps = *rc::gen::container<std::vector<Step>>(
+        AnyStep<Act>(kActs, kMoreWaits, 8, milliseconds(6000)));
     CheckSchedule(hosts, 100, steps, true);
   }));
 }
--- /dev/null
+++ b/tests/process/refused_input.sh
@@ -0,0 +1,71 @@
+#!/usr/bin/env bash
+# Bad settings, headers, bodies and operators' requests are refused with an
+# error that names the fault.
+set -euo pipefail
+source "$(dirname "$0")/../../misc/fleet.sh"
+
+# settings TEXT CODE ARGUMENT...: the entry program exits with the code and says
+# the text.
+settings() {
+  local text="$1" code="$2" got=0
+  shift 2
+  "$bin/papayawheel-entry" "$@" >"$work/out" 2>&1 || got=$?
+  expect "exit code $code for: $*" [ "$got" -eq "$code" ]
+  expect "it says: $text" grep -qF -- "$text" "$work/out"
+}
+good=(--name h1 --data-centre dc1 --address 127.0.0.1:1 --platform 127.0.0.1:1)
+settings 'Usage: papayawheel-entry' 0 --help
+settings 'papayawheel-entry 0.1.0' 0 --version
+settings 'setting "name" must be given' 2
+settings "unrecognised option '--nmae'" 2 --nmae h1
+settings 'setting "address": value "localhost:80" must be an IP number and a port' \
+  2 --name h1 --data-centre dc1 --platform 127.0.0.1:1 --address localhost:80
+settings "option '--address' cannot be specified more than once" \
+  2 "${good[@]}" --address 127.0.0.1:2
+settings 'setting "address": value "127.0.0.1:0" must be an IP number and a port' \
+  2 --name h1 --data-centre dc1 --platform 127.0.0.1:1 --address 127.0.0.1:0
+settings 'setting "data-centre": value "a b" must be letters' \
+  2 --name h1 --data-centre "a b" --platform 127.0.0.1:1 --address 127.0.0.1:1
+settings 'setting "traffic-threads": value "0" must be a whole number from 1 to 64' \
+  2 "${good[@]}" --traffic-threads 0
+settings 'setting "log-level": value "loud" must be "debug"' \
+  2 "${good[@]}" --log-level loud
+PAPAYAWHEEL_PEERS=here settings \
+  'setting "peers": value "here" must be IP numbers and ports' 2 "${good[@]}"
+settings 'event=cannot_listen address=192.0.2.1:9' 1 --name h1 \
+  --data-centre dc1 --platform 127.0.0.1:1 --address 192.0.2.1:9
+
+start_small_fleet 1
+address="${addresses[0]}"
+call=(-H 'papayawheel-customer: roofers' -H 'papayawheel-service: orders')
+# refused TEXT STATUS CURL-ARGUMENT...: the answer has the status and the text.
+refused() {
+  local text="$1" status="$2" got
+  shift 2
+  got=$(curl -sS --max-time 5 -o "$work/body" -w '%{http_code}' "$@")
+  expect "status $status ($got) for: ${*: -1}" [ "$got" = "$status" ]
+  expect "it says: $text" grep -qF -- "$text" "$work/body"
+}
+refused 'headers \"papayawheel-customer\" and' 400 "http://$address/a"
+refused '\"soon\" must be from 0 to 3600000' 400 "${call[@]}" \
+  -H 'papayawheel-deadline-ms: soon' "http://$address/b"
+refused '\"sideways\" is unknown' 400 "${call[@]}" \
+  -H 'papayawheel-hop: sideways' "http://$address/c"
+refused '"key_missing"' 400 "${call[@]}" -X POST "http://$address/d"
+refused '"key_malformed"' 400 "${call[@]}" -H 'papayawheel-key: x' "http://$address/e"
+refused '"deadline_passed"' 504 "${call[@]}" -H 'papayawheel-deadline-ms: 0' \
+  "http://$address/f"
+head -c 2000000 /dev/zero >"$work/large"
+refused 'the limit is 1048576 bytes' 413 "${call[@]}" \
+  --data-binary "@$work/large" "http://$address/g"
+refused 'must be {\"leaving\": true}' 400 -X POST --data '{}' \
+  "http://$address/papayawheel/v1/drain"
+refused 'is not a request that a host answers' 404 \
+  "http://$address/papayawheel/v1/nothing"
+refused '"unknown_customer"' 403 "http://$address/papayawheel/v1/customers/nobody"
+refused 'the heartbeat is malformed' 400 -X POST --data '[]' \
+  "http://$address/papayawheel/peer/v1/heartbeat"
+head -c 900000 /dev/zero | tr '\0' 'x' >"$work/whole"
+expect "a body within the limit passes whole" \
+  [ "$(curl -sS "${call[@]}" -X GET --data-binary "@$work/whole" \
+    "http://$address/h" | tail -n +2 | wc -c)" -eq 900000 ]
