Headers that stand twice pass through whole

Cause: the HTTP client kept headers by name and the server replaced equal names, so of two Set-Cookie headers one was lost; not the whole answer. The check failed before (process test truncated_answer) and holds after. Change: all headers are kept in the order they came; those of an interim answer are dropped.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -67,10 +67,19 @@
                      void* aTransfer) {
   auto& transfer = *static_cast<Transfer*>(aTransfer);
   const std::string line(aData, aSize * aCount);
+  HttpResult& result = transfer.mResult;
+  if (line.starts_with("HTTP/")) {
+    // A status line: what came before belonged to an interim answer.
+    result.mHeaders.clear();
+    result.mAllHeaders.clear();
+    return aSize * aCount;
+  }
   const std::size_t colon = line.find(':');
   if (colon != std::string::npos) {
-    transfer.mResult.mHeaders[ToLower(line.substr(0, colon))] =
-        Trim(line.substr(colon + 1));
+    const std::string name = line.substr(0, colon);
+    const std::string value = Trim(line.substr(colon + 1));
+    result.mHeaders[ToLower(name)] = value;
+    result.mAllHeaders.emplace_back(name, value);
   }
   return aSize * aCount;
 }
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -46,8 +46,10 @@
 struct HttpResult {
   HttpResultKind mKind = HttpResultKind::Lost;
   int mStatus = 0;
-  /** Names in lower case. */
+  /** By name in lower case; the last one where a name stands twice. */
   std::map<std::string, std::string> mHeaders;
+  /** All headers as they came. */
+  HeaderList mAllHeaders;
   std::string mBody;
   /** Bytes sent and received, with headers. */
   std::size_t mBytes = 0;
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -95,7 +95,7 @@
         "Status");
     auto response = mRequest->create_response(line);
     for (const auto& [name, value] : aReply.mHeaders) {
-      response.append_header(name, value);
+      response.header().add_field(name, value);
     }
     if (!aReply.mContentType.empty()) {
       response.append_header("Content-Type", aReply.mContentType);
--- a/servers/call_messages.cpp
+++ b/servers/call_messages.cpp
@@ -71,8 +71,7 @@
 std::shared_ptr<const Response> ReadResponse(const HttpResult& aResult) {
   auto response = std::make_shared<Response>();
   response->mStatus = aResult.mStatus;
-  response->mHeaders =
-      PassedOn(HeaderList(aResult.mHeaders.begin(), aResult.mHeaders.end()));
+  response->mHeaders = PassedOn(aResult.mAllHeaders);
   response->mBody = aResult.mBody;
   return response;
 }
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -53,9 +53,10 @@
     return {"this is not HTTP\r\n\r\n", true};
   }
   const std::string body = "whole " + aTarget;
-  return {
-      fmt::format("{}Content-Length: {}\r\n\r\n{}", head, body.size(), body),
-      false};
+  return {fmt::format("{}Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+                      "Content-Length: {}\r\n\r\n{}",
+                      head, body.size(), body),
+          false};
 }
 
 /** Answers the requests of one connection. */
--- a/tests/process/truncated_answer.sh
+++ b/tests/process/truncated_answer.sh
@@ -29,6 +29,9 @@
     expect "it is the caller's own" [ "$(cat "$work/body")" = "whole $target" ]
   done
 done
+outcome /whole >/dev/null
+expect "a header that stands twice is passed twice" \
+  [ "$(grep -ci '^set-cookie: ' "$work/head")" -eq 2 ]
 expect "a chunked whole answer is passed" [ "$(outcome /chunked)" = answered ]
 expect "its body is whole" [ "$(cat "$work/body")" = "hello world" ]
 expect "the endpoint that was replaced is untouched" is_up "$old"
