Split contracts before the engine is locked

Cause: a change of configuration was split over the hosts while the engine's lock was held; with 4000 contracts and 20 hosts a trial took 40 to 42 ms, and calls waited for it. Change: the control thread prepares the splits first. After, same trial: 35 to 38 ms without the lock, 2.9 to 3.4 ms under it.

--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -51,10 +51,9 @@
       mControlSeen(aNow),
       mNow(aNow) {}
 
-void CallEngine::Apply(std::shared_ptr<const Configuration> aConfiguration,
-                       TimePoint aNow) {
-  mConfiguration = std::move(aConfiguration);
-  mLedger.Apply(mConfiguration, aNow);
+void CallEngine::Apply(PreparedConfiguration aPrepared, TimePoint aNow) {
+  mConfiguration = aPrepared.mConfiguration;
+  mLedger.Apply(std::move(aPrepared), aNow);
   ConfigureServices(aNow);
 }
 
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -64,8 +64,7 @@
              OutcomeTableLimits aLimits = {});
 
   /** A configuration has come into force. */
-  void Apply(std::shared_ptr<const Configuration> aConfiguration,
-             TimePoint aNow);
+  void Apply(PreparedConfiguration aPrepared, TimePoint aNow);
 
   /** Whether the host may serve calls; false while it has no configuration
    * that it can vouch for. */
--- a/core/limits/share_ledger.cpp
+++ b/core/limits/share_ledger.cpp
@@ -20,13 +20,10 @@
 ShareLedger::ShareLedger(std::string aHost, TimePoint aNow)
     : mHost(std::move(aHost)), mStartedAt(aNow) {}
 
-void ShareLedger::Apply(std::shared_ptr<const Configuration> aConfiguration,
-                        TimePoint aNow) {
+void ShareLedger::Apply(PreparedConfiguration aPrepared, TimePoint aNow) {
   Epoch epoch;
-  for (const auto& [customer, contract] : aConfiguration->mContracts) {
-    epoch.mSplits[customer] = SplitContract(contract, aConfiguration->mHosts);
-  }
-  epoch.mConfiguration = std::move(aConfiguration);
+  epoch.mConfiguration = std::move(aPrepared.mConfiguration);
+  epoch.mSplits = std::move(aPrepared.mSplits);
   epoch.mAppliedAt = aNow;
   mEpochs.push_back(std::move(epoch));
   CountHostsSharing();
--- a/core/limits/share_ledger.h
+++ b/core/limits/share_ledger.h
@@ -62,8 +62,7 @@
   ShareLedger(std::string aHost, TimePoint aNow);
 
   /** A new configuration is in force on this host. */
-  void Apply(std::shared_ptr<const Configuration> aConfiguration,
-             TimePoint aNow);
+  void Apply(PreparedConfiguration aPrepared, TimePoint aNow);
 
   /** Another host answered and reported its state. Reports must arrive in the
    * order in which they were asked for.
--- a/core/limits/share_split.cpp
+++ b/core/limits/share_split.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 #include "core/base/rendezvous.h"
 
@@ -89,4 +90,12 @@
   return split;
 }
 
+PreparedConfiguration::PreparedConfiguration(
+    std::shared_ptr<const Configuration> aConfiguration)
+    : mConfiguration(std::move(aConfiguration)) {
+  for (const auto& [customer, contract] : mConfiguration->mContracts) {
+    mSplits[customer] = SplitContract(contract, mConfiguration->mHosts);
+  }
+}
+
 }  // namespace papayawheel
--- a/core/limits/share_split.h
+++ b/core/limits/share_split.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -38,4 +39,15 @@
 ShareSplit SplitContract(const Contract& aContract,
                          const std::map<std::string, Host>& aHosts);
 
+/** A configuration with the splits of all its contracts. Working them out takes
+ * long where there are many, so it is done before the ledger is locked. */
+struct PreparedConfiguration {
+  // Conversion is wanted: whoever need not prepare passes the configuration.
+  PreparedConfiguration(std::shared_ptr<const Configuration> aConfiguration);
+
+  std::shared_ptr<const Configuration> mConfiguration;
+  /** By customer. */
+  std::map<std::string, ShareSplit> mSplits;
+};
+
 }  // namespace papayawheel
--- a/servers/control_worker.cpp
+++ b/servers/control_worker.cpp
@@ -227,9 +227,13 @@
   const bool ready = mEngine.IsCurrent(now);
   const std::uint64_t revision = mEngine.Store().Revision();
   std::vector<std::string> quarantines;
+  std::optional<PreparedConfiguration> changed;
+  if (revision != mAppliedRevision) {
+    changed.emplace(mEngine.Store().InForce());
+  }
   mState.WithEngine([&](CallEngine& aEngine) {
-    if (revision != mAppliedRevision) {
-      aEngine.Apply(mEngine.Store().InForce(), now);
+    if (changed) {
+      aEngine.Apply(std::move(*changed), now);
     }
     aEngine.SetReady(ready);
     aEngine.NoteControlAlive(now);
