--- a/standins/endpoint_main.cpp
+++ b/standins/endpoint_main.cpp
@@ -39,8 +39,12 @@
   std::size_t mSlots = 4;
   std::size_t mQueue = 0;
   std::chrono::microseconds mService{4000};
+  /** Time after the start in which calls take kColdFactor times as long. */
+  std::chrono::milliseconds mColdStart{0};
 };
 
+constexpr double kColdFactor = 5;
+
 class Endpoint {
  public:
   Endpoint(asio::io_context& aContext, EndpointSettings aSettings)
@@ -106,12 +110,16 @@
     const auto work =
         asked > 0 ? std::chrono::microseconds(asked) : mSettings.mService;
     const auto slowed = std::chrono::duration_cast<std::chrono::microseconds>(
-        work * mFaults.mSlowdown);
+        work * mFaults.mSlowdown * (IsCold() ? kColdFactor : 1.0));
     auto timer = std::make_shared<asio::steady_timer>(mContext, slowed);
     timer->async_wait(
         [this, timer, aWaiting](asio::error_code) { Finish(aWaiting); });
   }
 
+  [[nodiscard]] bool IsCold() const {
+    return SteadyClock::now() - mStarted < mSettings.mColdStart;
+  }
+
   void Finish(const Waiting& aWaiting) {
     --mRunning;
     while (!mQueue.empty() && mRunning < mSettings.mSlots) {
@@ -190,6 +198,7 @@
 
   asio::io_context& mContext;
   EndpointSettings mSettings;
+  SteadyClock::time_point mStarted = SteadyClock::now();
   Faults mFaults;
   std::size_t mRunning = 0;
   std::deque<Waiting> mQueue;
@@ -208,16 +217,20 @@
                      "calls that may wait; more are shed");
   settings.AddNumber("service-us", 4000, 0, 60'000'000,
                      "time that one call takes, in microseconds");
+  settings.AddNumber("cold-start-ms", 0, 0, 600'000,
+                     "time after the start in which calls take longer");
   if (const auto code = settings.Parse(aCount, aArguments)) {
     return *code;
   }
   const Address address = *ParseAddress(settings.Text("address"));
   asio::io_context context(1);
   Endpoint endpoint(
-      context, EndpointSettings{
-                   static_cast<std::size_t>(settings.Number("slots")),
-                   static_cast<std::size_t>(settings.Number("queue")),
-                   std::chrono::microseconds(settings.Number("service-us"))});
+      context,
+      EndpointSettings{
+          static_cast<std::size_t>(settings.Number("slots")),
+          static_cast<std::size_t>(settings.Number("queue")),
+          std::chrono::microseconds(settings.Number("service-us")),
+          std::chrono::milliseconds(settings.Number("cold-start-ms"))});
   HttpServerSettings serverSettings;
   serverSettings.mIp = address.mIp;
   serverSettings.mPort = address.mPort;
--- a/standins/platform_main.cpp
+++ b/standins/platform_main.cpp
@@ -28,6 +28,8 @@
   Down,
   /** Readers get the values as they were when the fault began. */
   Stale,
+  /** Readers get each value some time after it was published. */
+  Lag,
   /** Readers get no values at all, as if they had been published never. */
   Lost,
 };
@@ -105,6 +107,7 @@
     mCurrent.mDocuments[aKey] = Document{mCurrent.mRevision, aExchange->Body()};
     mCurrent.mRemoved.erase(aKey);
     Answer(aExchange, Json{{"revision", mCurrent.mRevision}}.dump());
+    ShowLater();
     WakeWatches();
   }
 
@@ -116,6 +119,7 @@
     ++mCurrent.mRevision;
     mCurrent.mRemoved[aKey] = mCurrent.mRevision;
     Answer(aExchange, Json{{"revision", mCurrent.mRevision}}.dump());
+    ShowLater();
     WakeWatches();
   }
 
@@ -123,9 +127,12 @@
     const Json body = Json::parse(aExchange->Body(), nullptr, false);
     const std::string mode =
         body.is_object() ? body.value("mode", "none") : "none";
+    mLag = std::chrono::milliseconds(body.is_object() ? body.value("lag_ms", 0)
+                                                      : 0);
     mFrozen = mode == "lost" ? Snapshot{} : Visible();
     mFault = mode == "down"    ? Fault::Down
              : mode == "stale" ? Fault::Stale
+             : mode == "lag"   ? Fault::Lag
              : mode == "lost"  ? Fault::Lost
                                : Fault::None;
     Answer(aExchange, Json{{"mode", mode}}.dump());
@@ -138,6 +145,20 @@
     WakeWatches();
   }
 
+  /** Shows the values of now to readers after the lag. */
+  void ShowLater() {
+    if (mFault != Fault::Lag) {
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(mContext, mLag);
+    timer->async_wait([this, timer, shown = mCurrent](asio::error_code) {
+      if (mFault == Fault::Lag) {
+        mFrozen = shown;
+        WakeWatches();
+      }
+    });
+  }
+
   void WakeWatches() {
     if (mFault == Fault::Down) {
       return;
@@ -156,6 +177,7 @@
   Snapshot mCurrent;
   Snapshot mFrozen;
   Fault mFault = Fault::None;
+  std::chrono::milliseconds mLag{0};
   std::uint64_t mCalls = 0;
   std::list<Watch> mWatches;
 };
--- a/tests/process/platform_outage.sh
+++ b/tests/process/platform_outage.sh
@@ -26,6 +26,12 @@
     has_revision "$address" "$revision"
 done
 request PUT "$platform/v1/fault" '{"mode":"none"}' >/dev/null
+request PUT "$platform/v1/fault" '{"mode":"lag","lag_ms":1000}' >/dev/null
+revision="$(publish contracts/roofers \
+  "$(contract_json roofers 350 100 64 5 '"orders"')")"
+for address in "${addresses[@]}"; do wait_for 10 has_revision "$address" "$revision"; done
+expect "a change arrives through a platform that lags" true
+request PUT "$platform/v1/fault" '{"mode":"none"}' >/dev/null
 revision="$(publish contracts/roofers '{"customer":"roofers"}')"
 sleep 2
 ctl "${addresses[0]}" status
