--- a/standins/endpoint_main.cpp
+++ b/standins/endpoint_main.cpp
@@ -31,6 +31,8 @@
   double mSlowdown = 1;
   /** Reported load is multiplied by this. */
   double mLie = 1;
+  /** Reports tell the load of this long ago. */
+  std::chrono::milliseconds mReportLag{0};
   /** Every call is answered at once with status 500. */
   bool mFailFast = false;
 };
@@ -156,14 +158,31 @@
     aExchange->Reply(reply);
   }
 
-  void AddLoad(HttpReply& aReply) const {
+  struct Load {
+    SteadyClock::time_point mAt;
+    std::size_t mRunning;
+    std::size_t mQueued;
+  };
+
+  /** The load as it was when the lag began, or the oldest that is known. */
+  Load LaggingLoad() {
+    const auto now = SteadyClock::now();
+    mLoads.push_back(Load{now, mRunning, mQueue.size()});
+    while (mLoads.size() > 1 && mLoads[1].mAt <= now - mFaults.mReportLag) {
+      mLoads.pop_front();
+    }
+    return mLoads.front();
+  }
+
+  void AddLoad(HttpReply& aReply) {
+    const Load load = LaggingLoad();
     const auto told = [this](std::size_t aCount) {
       return static_cast<unsigned>(static_cast<double>(aCount) * mFaults.mLie);
     };
     aReply.mHeaders.emplace_back(
         header_names::kLoad,
-        fmt::format("running={} queued={} draining={}", told(mRunning),
-                    told(mQueue.size()), mFaults.mDraining ? 1 : 0));
+        fmt::format("running={} queued={} draining={}", told(load.mRunning),
+                    told(load.mQueued), mFaults.mDraining ? 1 : 0));
   }
 
   void SetFaults(const HttpExchangePtr& aExchange) {
@@ -172,6 +191,8 @@
       mFaults.mDraining = body.value("draining", mFaults.mDraining);
       mFaults.mSlowdown = body.value("slowdown", mFaults.mSlowdown);
       mFaults.mLie = body.value("lie", mFaults.mLie);
+      mFaults.mReportLag = std::chrono::milliseconds(
+          body.value("report_lag_ms", mFaults.mReportLag.count()));
       mFaults.mFailFast = body.value("fail_fast", mFaults.mFailFast);
     }
     Reply(aExchange, 200, "{}", "");
@@ -201,6 +222,7 @@
   SteadyClock::time_point mStarted = SteadyClock::now();
   Faults mFaults;
   std::size_t mRunning = 0;
+  std::deque<Load> mLoads;
   std::deque<Waiting> mQueue;
   std::map<std::string, std::uint64_t> mRuns;
 };
