--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -6,12 +6,12 @@
 #include <algorithm>
 #include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
-#include <cctype>
-#include <cerrno>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "drivers/http_transfer.h"
+
 namespace papayawheel {
 namespace {
 
@@ -23,105 +23,6 @@
 constexpr std::chrono::milliseconds kConnectTimeout{500};
 constexpr std::size_t kMaxPooledHandles = 512;
 
-std::string ToLower(std::string aText) {
-  std::transform(aText.begin(), aText.end(), aText.begin(),
-                 [](unsigned char aByte) { return std::tolower(aByte); });
-  return aText;
-}
-
-std::string Trim(const std::string& aText) {
-  const auto first = aText.find_first_not_of(" \t\r\n");
-  if (first == std::string::npos) {
-    return "";
-  }
-  const auto last = aText.find_last_not_of(" \t\r\n");
-  return aText.substr(first, last - first + 1);
-}
-
-/** One request in progress. */
-struct Transfer {
-  HttpClient::Id mId = 0;
-  CURL* mHandle = nullptr;
-  curl_slist* mHeaders = nullptr;
-  std::string mBody;
-  HttpClient::Callback mCallback;
-  HttpResult mResult;
-  std::size_t mMaxAnswer = 0;
-  bool mHead = false;
-  /** Set when the request is written to a connection. */
-  bool mWritten = false;
-};
-
-std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount,
-                   void* aTransfer) {
-  auto& transfer = *static_cast<Transfer*>(aTransfer);
-  const std::size_t bytes = aSize * aCount;
-  if (transfer.mResult.mBody.size() + bytes > transfer.mMaxAnswer) {
-    return 0;
-  }
-  transfer.mResult.mBody.append(aData, bytes);
-  return bytes;
-}
-
-std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount,
-                     void* aTransfer) {
-  auto& transfer = *static_cast<Transfer*>(aTransfer);
-  const std::string line(aData, aSize * aCount);
-  HttpResult& result = transfer.mResult;
-  if (line.starts_with("HTTP/")) {
-    // A status line: what came before belonged to an interim answer.
-    result.mHeaders.clear();
-    result.mAllHeaders.clear();
-    return aSize * aCount;
-  }
-  const std::size_t colon = line.find(':');
-  if (colon != std::string::npos) {
-    const std::string name = line.substr(0, colon);
-    const std::string value = Trim(line.substr(colon + 1));
-    result.mHeaders[ToLower(name)] = value;
-    result.mAllHeaders.emplace_back(name, value);
-  }
-  return aSize * aCount;
-}
-
-int OnBeforeWrite(void* aTransfer, char* /*aRemoteIp*/, char* /*aLocalIp*/,
-                  int /*aRemotePort*/, int /*aLocalPort*/) {
-  auto& transfer = *static_cast<Transfer*>(aTransfer);
-  if (transfer.mWritten) {
-    // The library repeats a request when a kept connection breaks before the
-    // answer; the other side may have run it already.
-    return CURL_PREREQFUNC_ABORT;
-  }
-  transfer.mWritten = true;
-  return CURL_PREREQFUNC_OK;
-}
-
-bool HasCertainEnd(const Transfer& aTransfer) {
-  const HttpResult& result = aTransfer.mResult;
-  const bool bodiless =
-      aTransfer.mHead || result.mStatus == 204 || result.mStatus == 304;
-  return bodiless || result.mHeaders.contains("content-length") ||
-         ToLower(result.Header("transfer-encoding")) == "chunked";
-}
-
-HttpResultKind KindOf(const Transfer& aTransfer, CURLcode aCode) {
-  if (aCode == CURLE_OK) {
-    return HasCertainEnd(aTransfer) ? HttpResultKind::Answered
-                                    : HttpResultKind::Cut;
-  }
-  if (!aTransfer.mWritten) {
-    long error = 0;
-    curl_easy_getinfo(aTransfer.mHandle, CURLINFO_OS_ERRNO, &error);
-    return error == ECONNREFUSED ? HttpResultKind::Refused
-                                 : HttpResultKind::NotConnected;
-  }
-  if (aCode == CURLE_OPERATION_TIMEDOUT) {
-    return HttpResultKind::TimedOut;
-  }
-  return aTransfer.mResult.mHeaders.empty() ? HttpResultKind::Lost
-                                            : HttpResultKind::Cut;
-}
-
 }  // namespace
 
 std::string HttpResult::Header(const std::string& aName) const {
@@ -156,7 +57,7 @@
   Impl& operator=(const Impl&) = delete;
 
   Id Send(const HttpCall& aCall, Callback aCallback) {
-    auto transfer = std::make_unique<Transfer>();
+    auto transfer = std::make_unique<HttpTransfer>();
     transfer->mId = ++mLastId;
     transfer->mBody = aCall.mBody;
     transfer->mCallback = std::move(aCallback);
@@ -176,7 +77,7 @@
     if (found == mTransfers.end()) {
       return;
     }
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    const std::unique_ptr<HttpTransfer> transfer = std::move(found->second);
     mTransfers.erase(found);
     curl_multi_remove_handle(mMulti, transfer->mHandle);
     GiveBack(*transfer);
@@ -203,7 +104,7 @@
     return handle;
   }
 
-  void GiveBack(Transfer& aTransfer) {
+  void GiveBack(HttpTransfer& aTransfer) {
     curl_slist_free_all(aTransfer.mHeaders);
     aTransfer.mHeaders = nullptr;
     if (mPool.size() >= kMaxPooledHandles) {
@@ -214,7 +115,7 @@
     mPool.push_back(aTransfer.mHandle);
   }
 
-  void Prepare(Transfer& aTransfer, const HttpCall& aCall) {
+  void Prepare(HttpTransfer& aTransfer, const HttpCall& aCall) {
     CURL* const handle = aTransfer.mHandle;
     const std::string url =
         fmt::format("http://{}{}", aCall.mAddress, aCall.mTarget);
@@ -238,11 +139,12 @@
                      static_cast<long>(connectTimeout));
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, aTransfer.mHeaders);
     curl_easy_setopt(handle, CURLOPT_PRIVATE, &aTransfer);
-    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &OnBody);
+    curl_easy_setopt(handle, CURLOPT_WRITEFUNCTION, &HttpTransfer::OnBody);
     curl_easy_setopt(handle, CURLOPT_WRITEDATA, &aTransfer);
-    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &OnHeader);
+    curl_easy_setopt(handle, CURLOPT_HEADERFUNCTION, &HttpTransfer::OnHeader);
     curl_easy_setopt(handle, CURLOPT_HEADERDATA, &aTransfer);
-    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &OnBeforeWrite);
+    curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION,
+                     &HttpTransfer::OnBeforeWrite);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, &aTransfer);
     curl_easy_setopt(handle, CURLOPT_OPENSOCKETFUNCTION, &Impl::OnOpen);
     curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
@@ -359,10 +261,10 @@
   }
 
   void Finish(CURL* aHandle, CURLcode aCode) {
-    Transfer* known = nullptr;
+    HttpTransfer* known = nullptr;
     curl_easy_getinfo(aHandle, CURLINFO_PRIVATE, &known);
     const auto found = mTransfers.find(known->mId);
-    const std::unique_ptr<Transfer> transfer = std::move(found->second);
+    const std::unique_ptr<HttpTransfer> transfer = std::move(found->second);
     mTransfers.erase(found);
     long status = 0;
     curl_easy_getinfo(aHandle, CURLINFO_RESPONSE_CODE, &status);
@@ -374,7 +276,7 @@
     transfer->mResult.mBytes = static_cast<std::size_t>(sent + headers) +
                                transfer->mBody.size() +
                                transfer->mResult.mBody.size();
-    transfer->mResult.mKind = KindOf(*transfer, aCode);
+    transfer->mResult.mKind = transfer->KindOf(aCode);
     curl_multi_remove_handle(mMulti, aHandle);
     GiveBack(*transfer);
     transfer->mCallback(std::move(transfer->mResult));
@@ -384,7 +286,7 @@
   asio::steady_timer mTimer;
   CURLM* mMulti;
   Id mLastId = 0;
-  std::unordered_map<Id, std::unique_ptr<Transfer>> mTransfers;
+  std::unordered_map<Id, std::unique_ptr<HttpTransfer>> mTransfers;
   std::unordered_map<curl_socket_t, std::shared_ptr<Watch>> mWatches;
   std::vector<CURL*> mPool;
 };
--- /dev/null
+++ b/drivers/http_transfer.cpp
@@ -0,0 +1,97 @@
+#include "drivers/http_transfer.h"
+
+#include <algorithm>
+#include <cctype>
+#include <cerrno>
+
+namespace papayawheel {
+namespace {
+
+std::string ToLower(std::string aText) {
+  std::transform(aText.begin(), aText.end(), aText.begin(),
+                 [](unsigned char aByte) { return std::tolower(aByte); });
+  return aText;
+}
+
+std::string Trim(const std::string& aText) {
+  const auto first = aText.find_first_not_of(" \t\r\n");
+  if (first == std::string::npos) {
+    return "";
+  }
+  const auto last = aText.find_last_not_of(" \t\r\n");
+  return aText.substr(first, last - first + 1);
+}
+
+bool HasCertainEnd(const HttpTransfer& aTransfer) {
+  const HttpResult& result = aTransfer.mResult;
+  const bool bodiless =
+      aTransfer.mHead || result.mStatus == 204 || result.mStatus == 304;
+  return bodiless || result.mHeaders.contains("content-length") ||
+         ToLower(result.Header("transfer-encoding")) == "chunked";
+}
+
+}  // namespace
+
+std::size_t HttpTransfer::OnBody(char* aData, std::size_t aSize,
+                                 std::size_t aCount, void* aTransfer) {
+  auto& transfer = *static_cast<HttpTransfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer.mResult.mBody.size() + bytes > transfer.mMaxAnswer) {
+    return 0;
+  }
+  transfer.mResult.mBody.append(aData, bytes);
+  return bytes;
+}
+
+std::size_t HttpTransfer::OnHeader(char* aData, std::size_t aSize,
+                                   std::size_t aCount, void* aTransfer) {
+  auto& transfer = *static_cast<HttpTransfer*>(aTransfer);
+  const std::string line(aData, aSize * aCount);
+  HttpResult& result = transfer.mResult;
+  if (line.starts_with("HTTP/")) {
+    // A status line: what came before belonged to an interim answer.
+    result.mHeaders.clear();
+    result.mAllHeaders.clear();
+    return aSize * aCount;
+  }
+  const std::size_t colon = line.find(':');
+  if (colon != std::string::npos) {
+    const std::string name = line.substr(0, colon);
+    const std::string value = Trim(line.substr(colon + 1));
+    result.mHeaders[ToLower(name)] = value;
+    result.mAllHeaders.emplace_back(name, value);
+  }
+  return aSize * aCount;
+}
+
+int HttpTransfer::OnBeforeWrite(void* aTransfer, char* /*aRemoteIp*/,
+                                char* /*aLocalIp*/, int /*aRemotePort*/,
+                                int /*aLocalPort*/) {
+  auto& transfer = *static_cast<HttpTransfer*>(aTransfer);
+  if (transfer.mWritten) {
+    // The library repeats a request when a kept connection breaks before the
+    // answer; the other side may have run it already.
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.mWritten = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+HttpResultKind HttpTransfer::KindOf(CURLcode aCode) const {
+  if (aCode == CURLE_OK) {
+    return HasCertainEnd(*this) ? HttpResultKind::Answered
+                                : HttpResultKind::Cut;
+  }
+  if (!mWritten) {
+    long error = 0;
+    curl_easy_getinfo(mHandle, CURLINFO_OS_ERRNO, &error);
+    return error == ECONNREFUSED ? HttpResultKind::Refused
+                                 : HttpResultKind::NotConnected;
+  }
+  if (aCode == CURLE_OPERATION_TIMEDOUT) {
+    return HttpResultKind::TimedOut;
+  }
+  return mResult.mHeaders.empty() ? HttpResultKind::Lost : HttpResultKind::Cut;
+}
+
+}  // namespace papayawheel
