One list of live hosts, one way to pull, no dead code

Cause: the names of the live hosts were collected in three places (splits, successors, suspects); a pull was decided twice; HasUsable, BookOf, Incarnation and an include had no user. Change: LiveHosts() and one Pull(); the rest is removed. Behaviour stays. Seen and left: the two fleets of fakes share their event queue's shape, and the stand-ins their start of a server.

--- a/core/config/configuration.h
+++ b/core/config/configuration.h
@@ -65,6 +65,9 @@
   bool operator==(const Host&) const = default;
 };
 
+/** Names of the hosts that take new work, in order. */
+std::vector<std::string> LiveHosts(const std::map<std::string, Host>& aHosts);
+
 /** Everything that the operators have published, at one revision. */
 struct Configuration {
   /** Strictly rises with every change. 0 means that nothing is in force. */
--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -64,14 +64,9 @@
   if (!mCrashGuard.IsSuspect(aCall.mFingerprint, aNow)) {
     return false;
   }
-  std::vector<std::string> hosts;
-  for (const auto& [name, host] : mConfiguration->mHosts) {
-    if (host.mState == NodeState::Live) {
-      hosts.push_back(name);
-    }
-  }
   const std::vector<std::string> ranked =
-      RankByRendezvous(fmt::format("{:x}", aCall.mFingerprint), hosts);
+      RankByRendezvous(fmt::format("{:x}", aCall.mFingerprint),
+                       LiveHosts(mConfiguration->mHosts));
   const bool isMine = aCall.mRequest.mHop == HopReason::Suspect ||
                       ranked.empty() || ranked.front() == mIdentity.mName;
   if (!isMine) {
--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -268,11 +268,6 @@
   return probes;
 }
 
-const EndpointBook* CallEngine::BookOf(const std::string& aService) const {
-  const auto found = mServices.find(aService);
-  return found == mServices.end() ? nullptr : &found->second.mBook;
-}
-
 void CallEngine::Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
                          CallActions& aActions) {
   const auto found = mCalls.find(aId);
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -112,7 +112,6 @@
   [[nodiscard]] const std::map<std::string, LastRefusal>& Refusals() const {
     return mRefusals;
   }
-  [[nodiscard]] const EndpointBook* BookOf(const std::string& aService) const;
 
  private:
   enum class CallState { Waiting, AtEndpoint, AtHost };
--- a/core/limits/share_ledger.cpp
+++ b/core/limits/share_ledger.cpp
@@ -335,12 +335,8 @@
   if (!since || !IsSettled()) {
     return std::nullopt;
   }
-  std::vector<std::string> others;
-  for (const auto& [name, host] : Current().mConfiguration->mHosts) {
-    if (name != aDeadHost && host.mState == NodeState::Live) {
-      others.push_back(name);
-    }
-  }
+  std::vector<std::string> others = LiveHosts(Current().mConfiguration->mHosts);
+  std::erase(others, aDeadHost);
   for (const std::string& candidate : RankByRendezvous(aDeadHost, others)) {
     if (candidate == mHost) {
       return since;
--- a/core/limits/share_split.cpp
+++ b/core/limits/share_split.cpp
@@ -23,17 +23,6 @@
   return std::min<std::size_t>(wanted, aHosts);
 }
 
-std::vector<std::string> RankLiveHosts(
-    const std::string& aCustomer, const std::map<std::string, Host>& aHosts) {
-  std::vector<std::string> names;
-  for (const auto& [name, host] : aHosts) {
-    if (host.mState == NodeState::Live) {
-      names.push_back(name);
-    }
-  }
-  return RankByRendezvous(aCustomer, names);
-}
-
 /** Takes the best host of every data centre, then the second best, and so on.
  */
 std::vector<std::string> PickAcrossDataCentres(
@@ -77,7 +66,8 @@
 
 ShareSplit SplitContract(const Contract& aContract,
                          const std::map<std::string, Host>& aHosts) {
-  std::vector<std::string> ranked = RankLiveHosts(aContract.mCustomer, aHosts);
+  std::vector<std::string> ranked =
+      RankByRendezvous(aContract.mCustomer, LiveHosts(aHosts));
   const std::size_t count = CountHomes(aContract, ranked.size());
   ShareSplit split;
   split.mHomes = PickAcrossDataCentres(std::move(ranked), aHosts, count);
--- a/core/membership/control_engine.cpp
+++ b/core/membership/control_engine.cpp
@@ -145,10 +145,7 @@
   }
   mMembership.Heard(aAnswer, aNow);
   ControlActions actions;
-  if (aAnswer.mRevision > mStore.Revision() && !mPulling) {
-    mPulling = true;
-    actions.emplace_back(PullAction{aSent.mAddress, mStore.Revision()});
-  }
+  Pull(aSent.mAddress, aAnswer.mRevision, actions);
   return actions;
 }
 
@@ -171,19 +168,21 @@
                                                TimePoint aNow) {
   mMembership.Heard(aHeartbeat, aNow);
   ControlActions actions;
-  Pull(aHeartbeat.mHost, aHeartbeat.mRevision, actions);
+  const auto& hosts = mStore.InForce()->mHosts;
+  const auto sender = hosts.find(aHeartbeat.mHost);
+  if (sender != hosts.end()) {
+    Pull(sender->second.mAddress, aHeartbeat.mRevision, actions);
+  }
   return actions;
 }
 
-void ControlEngine::Pull(const std::string& aHost, std::uint64_t aRevision,
+void ControlEngine::Pull(const std::string& aAddress, std::uint64_t aRevision,
                          ControlActions& aActions) {
-  const auto& hosts = mStore.InForce()->mHosts;
-  const auto found = hosts.find(aHost);
-  if (mPulling || aRevision <= mStore.Revision() || found == hosts.end()) {
+  if (mPulling || aRevision <= mStore.Revision()) {
     return;
   }
   mPulling = true;
-  aActions.emplace_back(PullAction{found->second.mAddress, mStore.Revision()});
+  aActions.emplace_back(PullAction{aAddress, mStore.Revision()});
 }
 
 ControlActions ControlEngine::ConfigurationArrived(const std::string& aText,
--- a/core/membership/control_engine.h
+++ b/core/membership/control_engine.h
@@ -133,7 +133,7 @@
   void AskPeersFromSettings(ControlActions& aActions);
   void AuditBeliefs(TimePoint aNow);
   void RefreshPeers(TimePoint aNow);
-  void Pull(const std::string& aHost, std::uint64_t aRevision,
+  void Pull(const std::string& aAddress, std::uint64_t aRevision,
             ControlActions& aActions);
   ControlActions Take(const std::string& aText, const std::string& aSource,
                       TimePoint aNow);
--- a/core/outcome/outcome_table.h
+++ b/core/outcome/outcome_table.h
@@ -81,7 +81,6 @@
   void Tick(TimePoint aNow);
 
   [[nodiscard]] std::size_t Size() const { return mRecords.size(); }
-  [[nodiscard]] std::uint64_t Incarnation() const { return mIncarnation; }
 
   /** The prefix to hand out now for keys that this process owns. */
   [[nodiscard]] std::string KeyPrefix(TimePoint aNow) const;
--- a/core/routing/endpoint_book.cpp
+++ b/core/routing/endpoint_book.cpp
@@ -115,12 +115,6 @@
   return aState.mOwnInFlight + aState.mOthers + 1 > mSlots;
 }
 
-bool EndpointBook::HasUsable(TimePoint aNow) const {
-  return std::any_of(
-      mEndpoints.begin(), mEndpoints.end(),
-      [&](const auto& aEntry) { return IsUsable(aEntry.second, aNow); });
-}
-
 void EndpointBook::Sent(const std::string& aName) {
   const auto found = mEndpoints.find(aName);
   if (found != mEndpoints.end()) {
--- a/core/routing/endpoint_book.h
+++ b/core/routing/endpoint_book.h
@@ -66,9 +66,6 @@
   [[nodiscard]] std::optional<std::string> PickIdle(
       const std::vector<std::string>& aExcluded, TimePoint aNow);
 
-  /** Whether any endpoint takes calls at all. */
-  [[nodiscard]] bool HasUsable(TimePoint aNow) const;
-
   /** A call was sent to the endpoint. */
   void Sent(const std::string& aName);
 
--- a/standins/endpoint_main.cpp
+++ b/standins/endpoint_main.cpp
@@ -9,7 +9,6 @@
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
-#include <random>
 
 #include "core/config/address.h"
 #include "drivers/http_server.h"
