--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -157,6 +157,12 @@
   return candidates;
 }
 
+bool EndpointPool::IsFresh(const std::string& aId, TimePoint aNow) const {
+  const auto found = mEndpoints.find(aId);
+  return found != mEndpoints.end() &&
+         (!mTellsLoad || Since(found->second.mReportedAt, aNow) <= kFreshFor);
+}
+
 void EndpointPool::NoteSample(const std::string& aId, const LoadSample& aSample,
                               TimePoint aNow) {
   const auto found = mEndpoints.find(aId);
@@ -171,6 +177,7 @@
   aState.mOthers =
       std::max(0.0, total - static_cast<double>(aState.mOwn.size()));
   aState.mPace = aSample.mPace;
+  mTellsLoad = true;
   aState.mReportedAt = aNow;
 }
 
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -75,6 +75,10 @@
       const std::vector<std::string>& aExcluded, Duration aWork,
       std::size_t aMost, TimePoint aNow);
 
+  /** Whether the last report of an endpoint is as good as a new one. Always so
+   * while no endpoint of the service has ever told its load. */
+  [[nodiscard]] bool IsFresh(const std::string& aId, TimePoint aNow) const;
+
   /** An endpoint told its load. */
   void NoteSample(const std::string& aId, const LoadSample& aSample,
                   TimePoint aNow);
@@ -124,8 +128,7 @@
   [[nodiscard]] std::vector<Ranked> Rank(
       const std::vector<std::string>& aExcluded, Duration aWork,
       TimePoint aNow);
-  static void TakeSample(State& aState, const LoadSample& aSample,
-                         TimePoint aNow);
+  void TakeSample(State& aState, const LoadSample& aSample, TimePoint aNow);
   [[nodiscard]] bool IsUsable(const State& aState, TimePoint aNow) const;
   [[nodiscard]] double Load(const State& aState, Duration aWork,
                             TimePoint aNow) const;
@@ -142,6 +145,7 @@
   std::string mDataCentre;
   std::minstd_rand mRandom;
   std::map<std::string, State> mEndpoints;
+  bool mTellsLoad = false;
 };
 
 }  // namespace papayawheel
--- /dev/null
+++ b/core/gateway/gateway_dispatch.cpp
@@ -0,0 +1,270 @@
+// The part of GatewayEngine that decides when and where a call is sent.
+
+#include <algorithm>
+#include <utility>
+
+#include "core/base/scaled.h"
+#include "core/gateway/gateway_engine.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** An endpoint is good if a request takes less than this many times as long on
+ * it as on a quiet, idle one. */
+constexpr double kGoodSlowdown = 1.9;
+
+/** A call that found no good endpoint in time goes to any that has less than
+ * this many requests a slot. */
+constexpr double kMostFill = 1.0;
+
+/** Part of the target latency that is left to chance when a call waits. */
+constexpr double kWaitReserve = 0.2;
+
+/** A retry or a hedge does not wait longer than this. */
+constexpr milliseconds kLongestRepeatWait{30};
+
+/** Endpoints asked in one round, and the most with many calls waiting. */
+constexpr std::size_t kLeastAsked = 3;
+constexpr std::size_t kMostAsked = 6;
+/** Rounds that follow each other at once. */
+constexpr std::uint32_t kQuickRounds = 2;
+/** Pause between rounds that found no good endpoint. */
+constexpr milliseconds kRoundPause{25};
+/** Answers of a round are waited for no longer. */
+constexpr milliseconds kRoundTime{12};
+
+/** A second endpoint is asked after this many times the expected time. */
+constexpr double kHedgeAfter = 1.6;
+
+/** Part of the retry budget that is kept for requests that have failed. */
+constexpr double kHedgeReserve = 0.4;
+
+/** Weight of the newest sample in the mean time between sends. */
+constexpr double kIntervalWeight = 0.1;
+constexpr milliseconds kLongestInterval{200};
+
+/** Rank of a route, from the operator's, where 0 goes first. */
+std::uint32_t QueuePriority(const Route& aRoute) {
+  constexpr std::uint32_t kMost = DispatchQueue::kPriorities - 1;
+  return kMost - std::min(aRoute.mPriority, kMost);
+}
+
+}  // namespace
+
+void GatewayEngine::Enqueue(CallId aId, Call& aCall, Purpose aPurpose,
+                            ErrorKind aIfNotSent, TimePoint aNow,
+                            GatewayActions& aActions) {
+  ServiceState& service = ServiceOf(aCall.mService);
+  // It may have waited for a second endpoint when the first one failed.
+  LeaveQueue(aId, aCall);
+  aCall.mPurpose = aPurpose;
+  aCall.mIfNotSent = aIfNotSent;
+  if (service.mPool.Usable(aNow) == 0) {
+    GiveUp(aId, aCall,
+           aCall.mTried.empty() ? ErrorKind::NoEndpoint : aIfNotSent, aActions);
+    return;
+  }
+  const Duration longest = LongestWait(aCall);
+  if (aPurpose == Purpose::First && ExpectedWait(service, aCall) > longest) {
+    Fail(aId, ErrorKind::Overloaded, aActions);
+    return;
+  }
+  aCall.mQueued = true;
+  service.mQueue.Push(DispatchQueue::Waiting{aId, QueuePriority(aCall.mRoute),
+                                             false, aCall.mArrivedAt,
+                                             aCall.mDeadline});
+  mTimers.emplace(aNow + longest, Timer{TimerKind::QueueEnd, aId});
+  Pump(aCall.mService, aNow, aActions);
+}
+
+void GatewayEngine::LeaveQueue(CallId aId, Call& aCall) {
+  if (aCall.mQueued) {
+    aCall.mQueued = false;
+    ServiceOf(aCall.mService).mQueue.Remove(aId);
+  }
+}
+
+Duration GatewayEngine::LongestWait(const Call& aCall) const {
+  if (aCall.mPurpose != Purpose::First) {
+    return kLongestRepeatWait;
+  }
+  const Duration work = WorkOf(aCall.mRoute);
+  const Duration left =
+      Scaled(aCall.mRoute.mTargetLatency, 1 - kWaitReserve) - work;
+  return std::max<Duration>(left, kRoundTime);
+}
+
+Duration GatewayEngine::ExpectedWait(const ServiceState& aService,
+                                     const Call& aCall) const {
+  const auto ahead = static_cast<std::int64_t>(
+      aService.mQueue.Ahead(QueuePriority(aCall.mRoute), false));
+  return aService.mSendInterval * ahead;
+}
+
+void GatewayEngine::Pump(const std::string& aService, TimePoint aNow,
+                         GatewayActions& aActions) {
+  ServiceState& service = ServiceOf(aService);
+  while (const DispatchQueue::Waiting* const waiting = service.mQueue.Front()) {
+    const CallId id = waiting->mId;
+    Call& call = mCalls.at(id);
+    const auto choice =
+        service.mPool.Pick(call.mTried, WorkOf(call.mRoute), aNow);
+    const bool good = choice && choice->mSlowdown < kGoodSlowdown &&
+                      service.mPool.IsFresh(choice->mId, aNow);
+    if (!good) {
+      break;
+    }
+    service.mQueue.Take(id);
+    call.mQueued = false;
+    if (!MayBeSent(service, call, aNow)) {
+      GiveUp(id, call, call.mIfNotSent, aActions);
+      continue;
+    }
+    NoteSend(service, aNow);
+    SendTo(id, call, *choice, aNow, aActions);
+  }
+  if (!service.mQueue.IsEmpty()) {
+    AskForLoads(aService, aNow, aActions);
+  }
+}
+
+void GatewayEngine::AskForLoads(const std::string& aService, TimePoint aNow,
+                                GatewayActions& aActions) {
+  ServiceState& service = ServiceOf(aService);
+  if (!service.mAsking.empty() || aNow < service.mNextRound) {
+    return;
+  }
+  const auto terms = mView->mRoutes->Source().mServices.find(aService);
+  const bool canAsk = terms != mView->mRoutes->Source().mServices.end() &&
+                      !terms->second.mHealthPath.empty();
+  const Call& first = mCalls.at(service.mQueue.Front()->mId);
+  const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
+                                      kLeastAsked, kMostAsked);
+  const auto candidates = service.mPool.StaleCandidates(
+      first.mTried, WorkOf(first.mRoute), most, aNow);
+  if (canAsk) {
+    for (const EndpointPool::Candidate& candidate : candidates) {
+      const ProbeId probe = ++mLastProbe;
+      mProbes[probe] = Probe{aService, candidate.mId};
+      service.mAsking.push_back(probe);
+      ++mCounts.mProbes;
+      aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
+                                       terms->second.mHealthPath});
+    }
+  }
+  ++service.mRounds;
+  const bool quick = service.mRounds < kQuickRounds && !candidates.empty();
+  service.mNextRound =
+      aNow + (quick ? Duration::zero() : Duration(kRoundPause));
+  mTimers.emplace(aNow + (candidates.empty() ? kRoundPause : kRoundTime),
+                  Timer{TimerKind::Round, 0, aService});
+  if (!quick) {
+    mTimers.emplace(service.mNextRound, Timer{TimerKind::Round, 0, aService});
+  }
+}
+
+GatewayActions GatewayEngine::ProbeEnded(
+    ProbeId aId, const std::optional<LoadSample>& aSample, TimePoint aNow) {
+  GatewayActions actions;
+  mNow = aNow;
+  const auto found = mProbes.find(aId);
+  if (found == mProbes.end()) {
+    return actions;
+  }
+  const Probe probe = found->second;
+  mProbes.erase(found);
+  ServiceState& service = ServiceOf(probe.mService);
+  std::erase(service.mAsking, aId);
+  if (aSample) {
+    service.mPool.NoteSample(probe.mEndpoint, *aSample, aNow);
+  }
+  if (service.mAsking.empty()) {
+    Pump(probe.mService, aNow, actions);
+  }
+  return actions;
+}
+
+void GatewayEngine::QueueEnded(CallId aId, Call& aCall, TimePoint aNow,
+                               GatewayActions& aActions) {
+  LeaveQueue(aId, aCall);
+  ServiceState& service = ServiceOf(aCall.mService);
+  const auto choice =
+      service.mPool.Pick(aCall.mTried, WorkOf(aCall.mRoute), aNow);
+  const bool mayGo = aCall.mPurpose != Purpose::Hedge && choice &&
+                     choice->mFill < kMostFill &&
+                     aNow + choice->mExpected < aCall.mDeadline;
+  if (mayGo && MayBeSent(service, aCall, aNow)) {
+    NoteSend(service, aNow);
+    SendTo(aId, aCall, *choice, aNow, aActions);
+    return;
+  }
+  GiveUp(aId, aCall, aCall.mIfNotSent, aActions);
+}
+
+bool GatewayEngine::MayBeSent(ServiceState& aService, const Call& aCall,
+                              TimePoint aNow) {
+  const bool reachedNone = aCall.mTried.size() == aCall.mUnreached;
+  if (reachedNone) {
+    return true;
+  }
+  const bool hedges = aCall.mPurpose == Purpose::Hedge;
+  if (!aService.mBudget.TryTake(hedges ? kHedgeReserve : 0, aNow)) {
+    return false;
+  }
+  ++(hedges ? mCounts.mHedges : mCounts.mRetries);
+  return true;
+}
+
+void GatewayEngine::NoteSend(ServiceState& aService, TimePoint aNow) {
+  const auto interval = std::min<Duration>(
+      std::chrono::duration_cast<Duration>(aNow - aService.mLastSend),
+      kLongestInterval);
+  aService.mSendInterval +=
+      Scaled(interval - aService.mSendInterval, kIntervalWeight);
+  aService.mLastSend = aNow;
+  aService.mRounds = 0;
+}
+
+void GatewayEngine::SendTo(CallId aId, Call& aCall,
+                           const EndpointPool::Choice& aChoice, TimePoint aNow,
+                           GatewayActions& aActions) {
+  const AttemptId attempt = ++mLastAttempt;
+  mAttempts[attempt] = Attempt{aId, aChoice.mId, aNow, aChoice.mSlowdown};
+  aCall.mRunning.push_back(attempt);
+  aCall.mTried.push_back(aChoice.mId);
+  ServiceOf(aCall.mService).mPool.Sent(aChoice.mId, aNow);
+  StartAttempt start;
+  start.mAttempt = attempt;
+  start.mCall = aId;
+  start.mEndpoint = aChoice.mId;
+  start.mAddress = aChoice.mAddress;
+  start.mTimeLeft =
+      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow);
+  start.mNeedsFreshConnection = aCall.mRoute.mKind == RouteKind::AtMostOnce;
+  aActions.emplace_back(std::move(start));
+  const bool mayHedge =
+      aCall.mRoute.mKind == RouteKind::Idempotent &&
+      aCall.mTried.size() - aCall.mUnreached < aCall.mRoute.mMaxAttempts;
+  if (mayHedge) {
+    const Duration expected = std::max(aChoice.mExpected, WorkOf(aCall.mRoute));
+    mTimers.emplace(aNow + Scaled(expected, kHedgeAfter),
+                    Timer{TimerKind::Hedge, aId});
+  }
+}
+
+void GatewayEngine::Hedge(CallId aId, TimePoint aNow,
+                          GatewayActions& aActions) {
+  Call& call = mCalls.at(aId);
+  const std::size_t reached = call.mTried.size() - call.mUnreached;
+  const bool mayHedge = call.mRunning.size() == 1 && !call.mQueued &&
+                        reached < call.mRoute.mMaxAttempts &&
+                        !call.mCallerLeft &&
+                        !mCrashes.IsSuspect(call.mFingerprint, aNow);
+  if (mayHedge) {
+    Enqueue(aId, call, Purpose::Hedge, ErrorKind::TimedOut, aNow, aActions);
+  }
+}
+
+}  // namespace papayawheel
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "core/base/rendezvous.h"
+#include "core/base/scaled.h"
 
 namespace papayawheel {
 namespace {
@@ -22,39 +23,10 @@
 /** Endpoints that a request may find unreachable. */
 constexpr std::uint32_t kMostUnreached = 4;
 
-/** How full an endpoint may be, in slots, for the most urgent requests and for
- * the others: endpoints queue a few requests and then stop answering. */
-constexpr double kMostFillUrgent = 2.25;
-constexpr double kMostFill = 1.75;
-
-/** A second endpoint is asked after this many times the typical time. */
-constexpr double kHedgeAfter = 1.6;
-
-/** Endpoints that are asked for their load at once, how often, and how long
- * the answers are waited for. */
-constexpr std::size_t kProbesPerRound = 3;
-constexpr std::uint32_t kMostProbeRounds = 2;
-constexpr milliseconds kProbeTime{12};
-
-/** Other endpoints are asked if the best one takes this many times as long as
- * a quiet one. */
-constexpr double kPoorSlowdown = 2.2;
-
-/** Part of the retry budget that is kept for requests that have failed. */
-constexpr double kHedgeReserve = 0.4;
-
-/** Least part of a typical time that must be left for a further attempt. */
-constexpr double kLeastTimeLeft = 0.6;
-
 /** Callers who are refused come back after this part of the target latency,
  * spread by as much again. */
 constexpr double kRetryAfterPart = 0.12;
 
-Duration Scaled(Duration aDuration, double aFactor) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(aDuration.count()) * aFactor));
-}
-
 std::uint64_t FingerprintOf(const GatewayRequest& aRequest) {
   return StableHash(fmt::format("{}\n{}\n{}\n{}", aRequest.mMethod,
                                 aRequest.mHost, aRequest.mTarget,
@@ -193,82 +165,7 @@
     Fail(aId, ErrorKind::Quarantined, aActions);
     return;
   }
-  ProbeAndSend(aId, call, ErrorKind::Overloaded, aNow, aActions);
-}
-
-void GatewayEngine::ProbeAndSend(CallId aId, Call& aCall, ErrorKind aIfNotSent,
-                                 TimePoint aNow, GatewayActions& aActions) {
-  aCall.mIfNotSent = aIfNotSent;
-  aCall.mProbeRounds = 0;
-  if (!StartProbes(aId, aCall, aNow, aActions)) {
-    ProbesDone(aId, aNow, aActions);
-  }
-}
-
-bool GatewayEngine::StartProbes(CallId aId, Call& aCall, TimePoint aNow,
-                                GatewayActions& aActions) {
-  const auto terms = mView->mRoutes->Source().mServices.find(aCall.mService);
-  const bool canAsk = terms != mView->mRoutes->Source().mServices.end() &&
-                      !terms->second.mHealthPath.empty();
-  if (!canAsk || aCall.mProbeRounds == kMostProbeRounds) {
-    return false;
-  }
-  ++aCall.mProbeRounds;
-  const auto candidates =
-      ServiceOf(aCall.mService)
-          .mPool.StaleCandidates(aCall.mTried, WorkOf(aCall.mRoute),
-                                 kProbesPerRound, aNow);
-  for (const EndpointPool::Candidate& candidate : candidates) {
-    const ProbeId probe = ++mLastProbe;
-    mProbes[probe] = Probe{aId, aCall.mService, candidate.mId};
-    aCall.mProbes.push_back(probe);
-    ++mCounts.mProbes;
-    aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
-                                     terms->second.mHealthPath});
-  }
-  if (candidates.empty()) {
-    return false;
-  }
-  mTimers.emplace(aNow + kProbeTime, Timer{TimerKind::Probe, aId});
-  return true;
-}
-
-GatewayActions GatewayEngine::ProbeEnded(
-    ProbeId aId, const std::optional<LoadSample>& aSample, TimePoint aNow) {
-  GatewayActions actions;
-  mNow = aNow;
-  const auto found = mProbes.find(aId);
-  if (found == mProbes.end()) {
-    return actions;
-  }
-  const Probe probe = found->second;
-  mProbes.erase(found);
-  if (aSample) {
-    ServiceOf(probe.mService).mPool.NoteSample(probe.mEndpoint, *aSample, aNow);
-  }
-  const auto call = mCalls.find(probe.mCall);
-  if (call == mCalls.end() || std::erase(call->second.mProbes, aId) == 0) {
-    return actions;
-  }
-  if (call->second.mProbes.empty()) {
-    ProbesDone(probe.mCall, aNow, actions);
-  }
-  return actions;
-}
-
-void GatewayEngine::ProbesDone(CallId aId, TimePoint aNow,
-                               GatewayActions& aActions) {
-  Call& call = mCalls.at(aId);
-  call.mProbes.clear();
-  const auto choice = ServiceOf(call.mService)
-                          .mPool.Pick(call.mTried, WorkOf(call.mRoute), aNow);
-  const bool poor = choice && choice->mSlowdown > kPoorSlowdown;
-  if (poor && StartProbes(aId, call, aNow, aActions)) {
-    return;
-  }
-  if (const auto error = Send(aId, call, aNow, aActions)) {
-    GiveUp(aId, call, call.mTried.empty() ? *error : call.mIfNotSent, aActions);
-  }
+  Enqueue(aId, call, Purpose::First, ErrorKind::Overloaded, aNow, aActions);
 }
 
 void GatewayEngine::GiveUp(CallId aId, Call& aCall, ErrorKind aError,
@@ -284,52 +181,6 @@
   Fail(aId, aError, aActions);
 }
 
-std::optional<ErrorKind> GatewayEngine::Send(CallId aId, Call& aCall,
-                                             TimePoint aNow,
-                                             GatewayActions& aActions) {
-  ServiceState& service = ServiceOf(aCall.mService);
-  const Duration work = WorkOf(aCall.mRoute);
-  const auto choice = service.mPool.Pick(aCall.mTried, work, aNow);
-  if (!choice) {
-    return ErrorKind::NoEndpoint;
-  }
-  if (!HasRoom(aCall, *choice, aNow)) {
-    return ErrorKind::Overloaded;
-  }
-  const AttemptId attempt = ++mLastAttempt;
-  mAttempts[attempt] = Attempt{aId, choice->mId, aNow, choice->mSlowdown};
-  aCall.mRunning.push_back(attempt);
-  aCall.mTried.push_back(choice->mId);
-  service.mPool.Sent(choice->mId, aNow);
-  StartAttempt start;
-  start.mAttempt = attempt;
-  start.mCall = aId;
-  start.mEndpoint = choice->mId;
-  start.mAddress = choice->mAddress;
-  start.mTimeLeft =
-      std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow);
-  start.mNeedsFreshConnection = aCall.mRoute.mKind == RouteKind::AtMostOnce;
-  aActions.emplace_back(std::move(start));
-  const bool mayHedge = aCall.mRoute.mKind == RouteKind::Idempotent &&
-                        aCall.mTried.size() < aCall.mRoute.mMaxAttempts;
-  if (mayHedge) {
-    mTimers.emplace(
-        aNow + Scaled(std::max(choice->mExpected, work), kHedgeAfter),
-        Timer{TimerKind::Hedge, aId});
-  }
-  return std::nullopt;
-}
-
-bool GatewayEngine::HasRoom(const Call& aCall,
-                            const EndpointPool::Choice& aChoice,
-                            TimePoint aNow) const {
-  const bool urgent = aCall.mRoute.mKind == RouteKind::AtMostOnce;
-  if (aChoice.mFill > (urgent ? kMostFillUrgent : kMostFill)) {
-    return false;
-  }
-  return aNow + Scaled(aChoice.mExpected, kLeastTimeLeft) < aCall.mDeadline;
-}
-
 GatewayActions GatewayEngine::AttemptEnded(AttemptId aId,
                                            const AttemptReply& aReply,
                                            TimePoint aNow) {
@@ -346,9 +197,10 @@
   const bool failed =
       aReply.mResponse != nullptr && IsServerError(aReply.mResponse->mStatus);
   const Duration work = WorkOf(call.mRoute);
-  ServiceOf(call.mService)
-      .mPool.Finished(attempt.mEndpoint, aReply.mResult, failed, aReply.mSample,
-                      work, attempt.mSentAt, aNow);
+  const std::string service = call.mService;
+  ServiceOf(service).mPool.Finished(attempt.mEndpoint, aReply.mResult, failed,
+                                    aReply.mSample, work, attempt.mSentAt,
+                                    aNow);
   switch (aReply.mResult) {
     case AttemptResult::Answered:
       mCrashes.NoteAlive(attempt.mEndpoint);
@@ -386,6 +238,7 @@
       RetryOrFail(attempt.mCall, call, ErrorKind::TimedOut, aNow, actions);
       break;
   }
+  Pump(service, aNow, actions);
   return actions;
 }
 
@@ -420,37 +273,13 @@
     // Another attempt may still answer.
     return;
   }
-  const bool neverReached = aCall.mTried.size() == aCall.mUnreached;
-  if (MayRepeat(aCall, aNow) &&
-      (neverReached || ServiceOf(aCall.mService).mBudget.TryTake(0, aNow))) {
-    mCounts.mRetries += neverReached ? 0 : 1;
-    ProbeAndSend(aId, aCall, aError, aNow, aActions);
+  if (MayRepeat(aCall, aNow)) {
+    Enqueue(aId, aCall, Purpose::Retry, aError, aNow, aActions);
     return;
   }
   GiveUp(aId, aCall, aError, aActions);
 }
 
-void GatewayEngine::Hedge(CallId aId, TimePoint aNow,
-                          GatewayActions& aActions) {
-  Call& call = mCalls.at(aId);
-  const std::size_t reached = call.mTried.size() - call.mUnreached;
-  if (call.mRunning.size() != 1 || !call.mProbes.empty() ||
-      reached >= call.mRoute.mMaxAttempts || call.mCallerLeft ||
-      mCrashes.IsSuspect(call.mFingerprint, aNow)) {
-    return;
-  }
-  ServiceState& service = ServiceOf(call.mService);
-  const auto choice =
-      service.mPool.Pick(call.mTried, WorkOf(call.mRoute), aNow);
-  const bool helps =
-      choice && choice->mFill < 1 && aNow + choice->mExpected < call.mDeadline;
-  if (!helps || !service.mBudget.TryTake(kHedgeReserve, aNow)) {
-    return;
-  }
-  ++mCounts.mHedges;
-  ProbeAndSend(aId, call, ErrorKind::Overloaded, aNow, aActions);
-}
-
 GatewayActions GatewayEngine::CallerLeft(CallId aId, TimePoint aNow) {
   GatewayActions actions;
   mNow = aNow;
@@ -474,6 +303,10 @@
   while (!mTimers.empty() && mTimers.begin()->first <= aNow) {
     const Timer timer = mTimers.begin()->second;
     mTimers.erase(mTimers.begin());
+    if (timer.mKind == TimerKind::Round) {
+      Pump(timer.mService, aNow, actions);
+      continue;
+    }
     const auto found = mCalls.find(timer.mCall);
     if (found == mCalls.end()) {
       continue;
@@ -483,11 +316,13 @@
       case TimerKind::Hedge:
         Hedge(timer.mCall, aNow, actions);
         break;
-      case TimerKind::Probe:
-        if (!call.mProbes.empty()) {
-          ProbesDone(timer.mCall, aNow, actions);
+      case TimerKind::QueueEnd:
+        if (call.mQueued) {
+          QueueEnded(timer.mCall, call, aNow, actions);
         }
         break;
+      case TimerKind::Round:
+        break;
       case TimerKind::Release:
         if (call.mHeld) {
           Fail(timer.mCall, ErrorKind::HostNotReady, actions);
@@ -543,6 +378,7 @@
 void GatewayEngine::Finish(CallId aId, GatewayActions& aActions) {
   const auto found = mCalls.find(aId);
   Call& call = found->second;
+  LeaveQueue(aId, call);
   for (const AttemptId running : call.mRunning) {
     const Attempt& attempt = mAttempts.at(running);
     ServiceOf(call.mService)
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -16,6 +16,7 @@
 #include "core/gateway/gateway_call.h"
 #include "core/gateway/typical_time.h"
 #include "core/routes/weighted_split.h"
+#include "core/routing/dispatch_queue.h"
 
 namespace papayawheel {
 
@@ -90,11 +91,13 @@
   };
 
   struct Probe {
-    CallId mCall = 0;
     std::string mService;
     std::string mEndpoint;
   };
 
+  /** Why a call waits for an endpoint. */
+  enum class Purpose { First, Retry, Hedge };
+
   struct Call {
     GatewayRequest mRequest;
     /** Copied, since the view may change while the call runs. */
@@ -112,10 +115,10 @@
     bool mMayHaveRun = false;
     bool mCallerLeft = false;
     bool mHeld = false;
-    /** Questions that the call waits for before it is sent. */
-    std::vector<ProbeId> mProbes;
-    std::uint32_t mProbeRounds = 0;
-    /** What to say if the call cannot be sent after its questions. */
+    /** It waits in the queue of its service. */
+    bool mQueued = false;
+    Purpose mPurpose = Purpose::First;
+    /** What to say if no endpoint takes the call. */
     ErrorKind mIfNotSent = ErrorKind::Overloaded;
     /** The answer of a failing endpoint, given if nothing better comes. */
     std::shared_ptr<const Response> mFailure;
@@ -126,35 +129,55 @@
         : mPool(aDataCentre, aSeed) {}
     EndpointPool mPool;
     FleetRetryBudget mBudget;
+    /** Calls that wait until a good endpoint is found. */
+    DispatchQueue mQueue{};
+    /** Questions for loads that are not answered yet. */
+    std::vector<ProbeId> mAsking;
+    /** Rounds of questions since a call was last sent. */
+    std::uint32_t mRounds = 0;
+    TimePoint mNextRound;
+    /** Running mean of the time between two calls sent from the queue. */
+    Duration mSendInterval{0};
+    TimePoint mLastSend;
   };
 
-  enum class TimerKind { Deadline, Hedge, Release, Probe };
+  enum class TimerKind { Deadline, Hedge, Release, QueueEnd, Round };
   struct Timer {
     TimerKind mKind = TimerKind::Deadline;
     CallId mCall = 0;
+    /** For rounds. */
+    std::string mService{};
   };
 
   [[nodiscard]] std::optional<ErrorKind> Check(const GatewayRequest& aRequest,
                                                const Route* aRoute) const;
   void Admit(CallId aId, TimePoint aNow, GatewayActions& aActions);
-  /** Asks the endpoints that a call may be sent to for their load, if that is
-   * worth it, and sends the call once they have told it. */
-  void ProbeAndSend(CallId aId, Call& aCall, ErrorKind aIfNotSent,
-                    TimePoint aNow, GatewayActions& aActions);
-  /** Whether questions were sent. */
-  bool StartProbes(CallId aId, Call& aCall, TimePoint aNow,
+  /** Lets a call wait until a good endpoint is found, or refuses it if that
+   * would take too long. */
+  void Enqueue(CallId aId, Call& aCall, Purpose aPurpose, ErrorKind aIfNotSent,
+               TimePoint aNow, GatewayActions& aActions);
+  void LeaveQueue(CallId aId, Call& aCall);
+  /** Sends the calls whose turn it is to good endpoints, and asks endpoints for
+   * their load while calls are waiting. */
+  void Pump(const std::string& aService, TimePoint aNow,
+            GatewayActions& aActions);
+  void AskForLoads(const std::string& aService, TimePoint aNow,
                    GatewayActions& aActions);
-  void ProbesDone(CallId aId, TimePoint aNow, GatewayActions& aActions);
+  /** The time for which a call may wait is over. */
+  void QueueEnded(CallId aId, Call& aCall, TimePoint aNow,
+                  GatewayActions& aActions);
+  /** How long a call may wait for a good endpoint. */
+  [[nodiscard]] Duration LongestWait(const Call& aCall) const;
+  [[nodiscard]] Duration ExpectedWait(const ServiceState& aService,
+                                      const Call& aCall) const;
+  /** Takes a repeat from the budget if the call needs one. */
+  bool MayBeSent(ServiceState& aService, const Call& aCall, TimePoint aNow);
+  void NoteSend(ServiceState& aService, TimePoint aNow);
   /** Gives the best answer that there is to a call that cannot be sent. */
   void GiveUp(CallId aId, Call& aCall, ErrorKind aError,
               GatewayActions& aActions);
-  /** Sends a call to the best endpoint that it has not tried; the reason if
-   * that is not possible. */
-  std::optional<ErrorKind> Send(CallId aId, Call& aCall, TimePoint aNow,
-                                GatewayActions& aActions);
-  [[nodiscard]] bool HasRoom(const Call& aCall,
-                             const EndpointPool::Choice& aChoice,
-                             TimePoint aNow) const;
+  void SendTo(CallId aId, Call& aCall, const EndpointPool::Choice& aChoice,
+              TimePoint aNow, GatewayActions& aActions);
   void Hedge(CallId aId, TimePoint aNow, GatewayActions& aActions);
   void EndpointAnswered(CallId aId, Call& aCall, const AttemptReply& aReply,
                         TimePoint aNow, GatewayActions& aActions);
--- /dev/null
+++ b/main/model_main.cpp
@@ -0,0 +1,109 @@
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "drivers/program_settings.h"
+#include "model/scenarios.h"
+
+namespace {
+
+using namespace papayawheel;
+using namespace papayawheel::model;
+
+constexpr std::int64_t kMostSeeds = 1000;
+constexpr double kPercent = 100;
+
+nlohmann::json Figures(const Scenario& aScenario, std::int64_t aFirstSeed,
+                       std::int64_t aSeeds) {
+  std::map<std::string, ModelTally> sums;
+  std::uint64_t arrivals = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t probes = 0;
+  for (std::int64_t seed = aFirstSeed; seed < aFirstSeed + aSeeds; ++seed) {
+    const auto played = Play(aScenario, static_cast<std::uint32_t>(seed));
+    for (const auto& [name, tally] : played->Tally()) {
+      ModelTally& sum = sums[name];
+      sum.mAsked += tally.mAsked;
+      sum.mInTarget += tally.mInTarget;
+      sum.mLate += tally.mLate;
+      sum.mRefused += tally.mRefused;
+      sum.mFailed += tally.mFailed;
+    }
+    arrivals += played->Arrivals();
+    retries += played->Retries();
+    probes += played->Probes();
+  }
+  nlohmann::json classes = nlohmann::json::object();
+  for (const auto& [name, sum] : sums) {
+    classes[name] = {{"asked", sum.mAsked},
+                     {"in_target", sum.mInTarget},
+                     {"late", sum.mLate},
+                     {"refused", sum.mRefused},
+                     {"failed", sum.mFailed}};
+  }
+  return {{"scenario", aScenario.mName},
+          {"classes", classes},
+          {"arrivals", arrivals},
+          {"retries", retries},
+          {"probes", probes}};
+}
+
+void PrintTable(const nlohmann::json& aFigures) {
+  const auto percent = [](const nlohmann::json& aClass, const char* aField) {
+    return kPercent * aClass.at(aField).get<double>() /
+           aClass.at("asked").get<double>();
+  };
+  for (const auto& [name, figures] : aFigures.at("classes").items()) {
+    fmt::print("{:<18} {:<12} {:>7} {:>9.1f} {:>6.1f} {:>8.1f} {:>7.1f}\n",
+               aFigures.at("scenario").get<std::string>(), name,
+               figures.at("asked").get<std::uint64_t>(),
+               percent(figures, "in_target"), percent(figures, "late"),
+               percent(figures, "refused"), percent(figures, "failed"));
+  }
+}
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-model",
+                           "plays load patterns on a model of the users' "
+                           "systems, with the real engine, on virtual time");
+  settings.Add("scenario", "all", "name of one pattern, or \"all\"",
+               [](const std::string& aValue) -> std::optional<std::string> {
+                 if (aValue == "all" || FindScenario(aValue) != nullptr) {
+                   return std::nullopt;
+                 }
+                 return "is not the name of a pattern";
+               });
+  settings.AddNumber("seed", 1, 0, kMostSeeds, "first seed");
+  settings.AddNumber("seeds", 5, 1, kMostSeeds, "how many seeds to play");
+  settings.Add("json", "no", "\"yes\" prints one line of JSON a pattern",
+               [](const std::string& aValue) -> std::optional<std::string> {
+                 if (aValue == "yes" || aValue == "no") {
+                   return std::nullopt;
+                 }
+                 return "must be \"yes\" or \"no\"";
+               });
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  const bool json = settings.Text("json") == "yes";
+  if (!json) {
+    fmt::print("{:<18} {:<12} {:>7} {:>9} {:>6} {:>8} {:>7}\n", "pattern",
+               "route", "asked", "in target", "late", "refused", "failed");
+  }
+  for (const Scenario& scenario : Scenarios()) {
+    const std::string wanted = settings.Text("scenario");
+    if (wanted != "all" && wanted != scenario.mName) {
+      continue;
+    }
+    const auto figures =
+        Figures(scenario, settings.Number("seed"), settings.Number("seeds"));
+    if (json) {
+      fmt::print("{}\n", figures.dump());
+    } else {
+      PrintTable(figures);
+    }
+  }
+  return kExitOk;
+}
--- /dev/null
+++ b/model/event_queue.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+#include "core/base/clock.h"
+
+namespace papayawheel::model {
+
+/** Runs events in the order of their times on a clock of its own. */
+class EventQueue {
+ public:
+  [[nodiscard]] TimePoint Now() const { return mNow; }
+
+  /** Runs an event at a time; events of one time run in the order of At(). */
+  void At(TimePoint aTime, std::function<void()> aEvent) {
+    mEvents.push(Event{std::max(aTime, mNow), ++mLast, std::move(aEvent)});
+  }
+  void After(Duration aDelay, std::function<void()> aEvent) {
+    At(mNow + aDelay, std::move(aEvent));
+  }
+
+  /** Runs all events up to a time. */
+  void RunUntil(TimePoint aTime) {
+    while (!mEvents.empty() && mEvents.top().mTime <= aTime) {
+      const Event event = mEvents.top();
+      mEvents.pop();
+      mNow = event.mTime;
+      event.mAction();
+    }
+    mNow = std::max(mNow, aTime);
+  }
+
+ private:
+  struct Event {
+    TimePoint mTime;
+    std::uint64_t mOrder = 0;
+    std::function<void()> mAction;
+
+    bool operator<(const Event& aOther) const {
+      return std::pair(aOther.mTime, aOther.mOrder) < std::pair(mTime, mOrder);
+    }
+  };
+
+  TimePoint mNow{std::chrono::hours(1)};
+  std::uint64_t mLast = 0;
+  std::priority_queue<Event> mEvents;
+};
+
+}  // namespace papayawheel::model
--- /dev/null
+++ b/model/gateway_model.cpp
@@ -0,0 +1,288 @@
+#include "model/gateway_model.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/base/parse_number.h"
+
+namespace papayawheel::model {
+namespace {
+
+/** Spread of the work of a class round its mean. */
+constexpr double kWorkSpread = 0.3;
+
+constexpr double kMicrosPerSecond = 1e6;
+
+Duration Micros(double aMicros) {
+  return Duration(static_cast<std::int64_t>(aMicros));
+}
+
+}  // namespace
+
+double ModelTally::InTargetShare() const {
+  return mAsked == 0
+             ? 0
+             : static_cast<double>(mInTarget) / static_cast<double>(mAsked);
+}
+
+GatewayModel::GatewayModel(ModelSettings aSettings)
+    : mSettings(std::move(aSettings)),
+      mStart(mEvents.Now()),
+      mRandom(mSettings.mSeed) {
+  for (std::size_t index = 0; index < mSettings.mEndpoints; ++index) {
+    mEndpoints.push_back(std::make_unique<ModelEndpoint>(
+        mEvents, mSettings.mTraits, static_cast<std::uint32_t>(mRandom())));
+  }
+  const auto view = MakeView();
+  for (std::size_t index = 0; index < mSettings.mHosts; ++index) {
+    Host host;
+    host.mEngine = std::make_unique<GatewayEngine>(
+        fmt::format("dc{}", index % mSettings.mDataCentres),
+        static_cast<std::uint32_t>(mRandom()));
+    host.mEngine->SetRetryBudget(mSettings.mBudget, mSettings.mHosts);
+    host.mEngine->Apply(view, mEvents.Now());
+    host.mEngine->SetTrusted(true, mEvents.Now());
+    mHosts.push_back(std::move(host));
+  }
+  for (std::size_t index = 0; index < mSettings.mClasses.size(); ++index) {
+    ScheduleArrival(index);
+  }
+}
+
+std::shared_ptr<RoutingView> GatewayModel::MakeView() const {
+  auto source = std::make_shared<RoutingConfiguration>();
+  source->mVersion = 1;
+  source->mServices.emplace(kService, ServiceTerms{kService, "/health", 300});
+  for (const ModelClass& kind : mSettings.mClasses) {
+    source->mRoutes.push_back(kind.mRoute);
+  }
+  auto endpoints = std::make_shared<EndpointMap>();
+  for (std::size_t index = 0; index < mSettings.mEndpoints; ++index) {
+    EndpointEntry entry;
+    entry.mId = fmt::format("e{}", index);
+    entry.mService = kService;
+    entry.mAddress = fmt::format("10.0.0.{}:80", index + 1);
+    entry.mDataCentre = fmt::format("dc{}", index % mSettings.mDataCentres);
+    entry.mSlots = mSettings.mTraits.mSlots;
+    endpoints->emplace(entry.mId, entry);
+  }
+  auto view = std::make_shared<RoutingView>();
+  view->mRoutes = std::make_shared<RouteTable>(source);
+  view->mEndpoints = endpoints;
+  view->mRevision = 1;
+  return view;
+}
+
+std::size_t GatewayModel::IndexOf(const std::string& aEndpoint) {
+  return *ParseNumber<std::size_t>(aEndpoint.substr(1));
+}
+
+void GatewayModel::Run(Duration aTime) {
+  mEvents.RunUntil(mEvents.Now() + aTime);
+}
+
+void GatewayModel::At(Duration aFromStart, std::function<void()> aEvent) {
+  mEvents.At(mStart + aFromStart, std::move(aEvent));
+}
+
+void GatewayModel::ResetTally() {
+  mTally.clear();
+  ++mEpoch;
+}
+
+void GatewayModel::ScheduleArrival(std::size_t aClass) {
+  const ModelClass& kind = mSettings.mClasses.at(aClass);
+  const double perSecond = kind.mPerSecond * mRate;
+  const double gap = std::exponential_distribution<double>(perSecond)(mRandom);
+  mEvents.After(Micros(gap * kMicrosPerSecond), [this, aClass] {
+    const ModelClass& now = mSettings.mClasses.at(aClass);
+    const auto caller = std::make_shared<Caller>();
+    caller->mClass = aClass;
+    caller->mAskedAt = mEvents.Now();
+    caller->mTriesLeft = now.mRetries;
+    caller->mEpoch = mEpoch;
+    const double spread =
+        std::lognormal_distribution<double>(0, kWorkSpread)(mRandom);
+    caller->mWork = Micros(static_cast<double>(now.mWork.count()) * spread);
+    ++mTally[now.mRoute.mName].mAsked;
+    Ask(caller);
+    ScheduleArrival(aClass);
+  });
+}
+
+void GatewayModel::Ask(const std::shared_ptr<Caller>& aCaller) {
+  const std::size_t index =
+      std::uniform_int_distribution<std::size_t>(0, mHosts.size() - 1)(mRandom);
+  Host& host = mHosts.at(index);
+  const ModelClass& kind = mSettings.mClasses.at(aCaller->mClass);
+  const CallId id = ++mLastCall;
+  GatewayRequest request;
+  request.mRequestId = fmt::format("{:x}", id);
+  request.mMethod = kind.mRoute.mKind == RouteKind::Idempotent ? "GET" : "POST";
+  request.mHost = kind.mRoute.mHost;
+  request.mTarget = kind.mRoute.mPrefix + fmt::format("{}", id);
+  request.mPatience = std::chrono::duration_cast<Duration>(
+      aCaller->mAskedAt + kind.mPatience - mEvents.Now());
+  host.mCallers[id] = aCaller;
+  Act(index, host.mEngine->Arrive(id, request, mEvents.Now()));
+}
+
+void GatewayModel::Act(std::size_t aHost, const GatewayActions& aActions) {
+  Host& host = mHosts.at(aHost);
+  for (const GatewayAction& action : aActions) {
+    if (const auto* const answer = std::get_if<GatewayAnswer>(&action)) {
+      Answer(aHost, *answer);
+    } else if (const auto* const start = std::get_if<StartAttempt>(&action)) {
+      Send(aHost, *start);
+    } else if (const auto* const probe = std::get_if<StartProbe>(&action)) {
+      Probe(aHost, *probe);
+    } else if (const auto* const cancel = std::get_if<CancelAttempt>(&action)) {
+      const auto sending = host.mSendings.at(cancel->mAttempt);
+      host.mSendings.erase(cancel->mAttempt);
+      sending->mCancelled = true;
+      mEvents.After(mSettings.mDelay, [this, sending] {
+        mEndpoints.at(sending->mEndpoint)->Cancel(sending->mJob);
+      });
+    }
+  }
+  ScheduleTick(aHost);
+}
+
+void GatewayModel::ScheduleTick(std::size_t aHost) {
+  Host& host = mHosts.at(aHost);
+  const auto due = host.mEngine->NextDue();
+  const bool scheduled =
+      host.mTickAt > mEvents.Now() && due && host.mTickAt <= *due;
+  if (!due || scheduled) {
+    return;
+  }
+  host.mTickAt = std::max(*due, mEvents.Now());
+  mEvents.At(host.mTickAt, [this, aHost] {
+    Host& late = mHosts.at(aHost);
+    late.mTickAt = TimePoint{};
+    Act(aHost, late.mEngine->Tick(mEvents.Now()));
+  });
+}
+
+void GatewayModel::Send(std::size_t aHost, const StartAttempt& aStart) {
+  const auto sending = std::make_shared<Sending>();
+  sending->mEndpoint = IndexOf(aStart.mEndpoint);
+  mHosts.at(aHost).mSendings[aStart.mAttempt] = sending;
+  const Duration work = mHosts.at(aHost).mCallers.at(aStart.mCall)->mWork;
+  mEvents.After(mSettings.mDelay, [this, aHost, aStart, sending, work] {
+    if (sending->mCancelled) {
+      return;
+    }
+    sending->mJob =
+        mEndpoints.at(sending->mEndpoint)
+            ->Arrive(work, [this, aHost, aStart, sending](ModelOutcome aOutcome,
+                                                          LoadSample aSample) {
+              mEvents.After(mSettings.mDelay, [=, this] {
+                Host& host = mHosts.at(aHost);
+                if (sending->mCancelled) {
+                  return;
+                }
+                host.mSendings.erase(aStart.mAttempt);
+                AttemptReply reply;
+                if (aOutcome == ModelOutcome::NotConnected) {
+                  reply.mResult = AttemptResult::NotConnected;
+                } else {
+                  auto response = std::make_shared<Response>();
+                  response->mStatus =
+                      aOutcome == ModelOutcome::Failed ? 500 : 200;
+                  reply.mResult = AttemptResult::Answered;
+                  reply.mSample = aSample;
+                  reply.mResponse = std::move(response);
+                }
+                Act(aHost, host.mEngine->AttemptEnded(aStart.mAttempt, reply,
+                                                      mEvents.Now()));
+              });
+            });
+  });
+}
+
+void GatewayModel::Probe(std::size_t aHost, const StartProbe& aProbe) {
+  mEvents.After(mSettings.mDelay, [this, aHost, aProbe] {
+    ModelEndpoint& endpoint = *mEndpoints.at(IndexOf(aProbe.mEndpoint));
+    std::optional<LoadSample> sample;
+    if (!endpoint.IsDown()) {
+      sample = endpoint.Load();
+    }
+    mEvents.After(mSettings.mDelay, [this, aHost, aProbe, sample] {
+      Act(aHost, mHosts.at(aHost).mEngine->ProbeEnded(aProbe.mProbe, sample,
+                                                      mEvents.Now()));
+    });
+  });
+}
+
+void GatewayModel::Answer(std::size_t aHost, const GatewayAnswer& aAnswer) {
+  Host& host = mHosts.at(aHost);
+  const auto found = host.mCallers.find(aAnswer.mCall);
+  const auto caller = found->second;
+  host.mCallers.erase(found);
+  const ModelClass& kind = mSettings.mClasses.at(caller->mClass);
+  const bool answered =
+      aAnswer.mResponse != nullptr && aAnswer.mResponse->mStatus == 200;
+  const bool refused = aAnswer.mResponse == nullptr &&
+                       AnswerOf(aAnswer.mError).mOutcome == Outcome::NotRun;
+  const bool mayComeBack =
+      refused || kind.mRoute.mKind == RouteKind::Idempotent;
+  const auto left = caller->mAskedAt + kind.mPatience - mEvents.Now();
+  if (!answered && mayComeBack && caller->mTriesLeft > 0 &&
+      left > Duration::zero()) {
+    --caller->mTriesLeft;
+    const Duration longest = std::chrono::duration_cast<Duration>(left) / 3;
+    mEvents.After(std::min(aAnswer.mRetryAfter, longest),
+                  [this, caller] { Ask(caller); });
+    return;
+  }
+  Count(caller, aAnswer);
+}
+
+void GatewayModel::Count(const std::shared_ptr<Caller>& aCaller,
+                         const GatewayAnswer& aAnswer) {
+  if (aCaller->mEpoch != mEpoch) {
+    return;
+  }
+  const ModelClass& kind = mSettings.mClasses.at(aCaller->mClass);
+  ModelTally& tally = mTally[kind.mRoute.mName];
+  const auto took =
+      std::chrono::duration_cast<Duration>(mEvents.Now() - aCaller->mAskedAt);
+  if (aAnswer.mResponse != nullptr && aAnswer.mResponse->mStatus == 200) {
+    ++(took <= kind.mRoute.mTargetLatency ? tally.mInTarget : tally.mLate);
+  } else if (aAnswer.mResponse == nullptr &&
+             AnswerOf(aAnswer.mError).mOutcome == Outcome::NotRun) {
+    ++tally.mRefused;
+    tally.mLongestRefusal = std::max(tally.mLongestRefusal, took);
+  } else {
+    ++tally.mFailed;
+  }
+}
+
+std::uint64_t GatewayModel::Arrivals() const {
+  std::uint64_t arrivals = 0;
+  for (const auto& endpoint : mEndpoints) {
+    arrivals += endpoint->Arrivals();
+  }
+  return arrivals;
+}
+
+std::uint64_t GatewayModel::Retries() const {
+  std::uint64_t retries = 0;
+  for (const Host& host : mHosts) {
+    retries += host.mEngine->Counts().mRetries + host.mEngine->Counts().mHedges;
+  }
+  return retries;
+}
+
+std::uint64_t GatewayModel::Probes() const {
+  std::uint64_t probes = 0;
+  for (const Host& host : mHosts) {
+    probes += host.mEngine->Counts().mProbes;
+  }
+  return probes;
+}
+
+}  // namespace papayawheel::model
--- /dev/null
+++ b/model/scenarios.cpp
@@ -0,0 +1,137 @@
+#include "model/scenarios.h"
+
+#include <algorithm>
+
+namespace papayawheel::model {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+ModelClass MakeClass(const char* aName, RouteKind aKind, std::uint32_t aRank,
+                     double aPerSecond, milliseconds aWork,
+                     milliseconds aTarget, milliseconds aPatience) {
+  ModelClass kind;
+  kind.mRoute.mName = aName;
+  kind.mRoute.mHost = "shop.example";
+  kind.mRoute.mPrefix = std::string("/") + aName + "/";
+  kind.mRoute.mKind = aKind;
+  kind.mRoute.mTimeout = aPatience;
+  kind.mRoute.mTargetLatency = aTarget;
+  kind.mRoute.mPriority = aRank;
+  kind.mRoute.mMaxAttempts = 2;
+  kind.mRoute.mShares = {ServiceShare{GatewayModel::kService, 1}};
+  kind.mPerSecond = aPerSecond;
+  kind.mWork = aWork;
+  kind.mPatience = aPatience;
+  return kind;
+}
+
+/** The order service of the shingle network on an ordinary day. */
+ModelSettings OrderService() {
+  ModelSettings settings;
+  settings.mHosts = 12;
+  settings.mClasses = {
+      MakeClass(kStockCheck, RouteKind::Idempotent, 2, 95, milliseconds(76),
+                milliseconds(250), milliseconds(800)),
+      MakeClass(kOrderPlace, RouteKind::AtMostOnce, 1, 28, milliseconds(100),
+                milliseconds(300), milliseconds(1000))};
+  return settings;
+}
+
+void WarmUp(GatewayModel& aModel) {
+  aModel.Run(seconds(3));
+  aModel.ResetTally();
+}
+
+void PlayFlashCrowd(GatewayModel& aModel) {
+  WarmUp(aModel);
+  aModel.SetRate(2.6);
+  aModel.Run(seconds(5));
+  aModel.SetRate(0.1);
+  aModel.Run(seconds(2));
+}
+
+void PlaySteady(GatewayModel& aModel) {
+  WarmUp(aModel);
+  aModel.Run(seconds(15));
+  aModel.SetRate(0.1);
+  aModel.Run(seconds(2));
+}
+
+/** Changes a part of the endpoints for some seconds. */
+void PlayChanged(GatewayModel& aModel, std::size_t aCount,
+                 const std::function<void(ModelEndpoint&)>& aChange) {
+  WarmUp(aModel);
+  for (std::size_t index = 0; index < aCount; ++index) {
+    aChange(aModel.Endpoint(index));
+  }
+  aModel.Run(seconds(8));
+  aModel.SetRate(0.1);
+  aModel.Run(seconds(2));
+}
+
+void PlaySlowEndpoints(GatewayModel& aModel) {
+  PlayChanged(aModel, 6, [](ModelEndpoint& aEndpoint) {
+    aEndpoint.Traits().mHiddenSlowness = 12;
+  });
+}
+
+void PlayFailingEndpoints(GatewayModel& aModel) {
+  PlayChanged(aModel, 3, [](ModelEndpoint& aEndpoint) {
+    aEndpoint.Traits().mFailureShare = 0.45;
+  });
+}
+
+void PlayFlapping(GatewayModel& aModel) {
+  for (int turn = 0; turn < 5; ++turn) {
+    for (const bool down : {true, false}) {
+      const milliseconds at = milliseconds(3000 + turn * 2800) +
+                              (down ? milliseconds(0) : milliseconds(1400));
+      aModel.At(at, [&aModel, down] {
+        aModel.Endpoint(0).SetDown(down);
+        aModel.Endpoint(1).SetDown(down);
+      });
+    }
+  }
+  PlaySteady(aModel);
+}
+
+}  // namespace
+
+const std::vector<Scenario>& Scenarios() {
+  static const std::vector<Scenario> sScenarios = {
+      {"noisy neighbour",
+       "a quarter of the machines is five times slower, drawn anew every "
+       "150 ms",
+       OrderService, PlaySteady},
+      {"flash crowd", "2.6 times the usual arrivals for five seconds",
+       OrderService, PlayFlashCrowd},
+      {"slow endpoints", "six of fifteen take twelve times as long, unreported",
+       OrderService, PlaySlowEndpoints},
+      {"failing endpoints", "three of fifteen fail 45 in 100 of their requests",
+       OrderService, PlayFailingEndpoints},
+      {"flapping", "two of fifteen go down and up every 1.4 s", OrderService,
+       PlayFlapping},
+  };
+  return sScenarios;
+}
+
+const Scenario* FindScenario(const std::string& aName) {
+  const auto& scenarios = Scenarios();
+  const auto found = std::find_if(
+      scenarios.begin(), scenarios.end(),
+      [&aName](const Scenario& aOne) { return aOne.mName == aName; });
+  return found == scenarios.end() ? nullptr : &*found;
+}
+
+std::unique_ptr<GatewayModel> Play(const Scenario& aScenario,
+                                   std::uint32_t aSeed) {
+  ModelSettings settings = aScenario.mSettings();
+  settings.mSeed = aSeed;
+  auto model = std::make_unique<GatewayModel>(std::move(settings));
+  aScenario.mPlay(*model);
+  return model;
+}
+
+}  // namespace papayawheel::model
--- /dev/null
+++ b/tests/core/gateway_harness.cpp
@@ -0,0 +1,192 @@
+#include "tests/core/gateway_harness.h"
+
+#include <fmt/format.h>
+
+#include <numeric>
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+Route MakeRoute(const char* aHost, RouteKind aKind) {
+  Route route;
+  route.mName = aHost;
+  route.mHost = aHost;
+  route.mPrefix = "/";
+  route.mKind = aKind;
+  route.mTimeout = milliseconds(1000);
+  route.mTargetLatency = milliseconds(300);
+  route.mMaxAttempts = 2;
+  route.mShares = {ServiceShare{GatewayHarness::kService, 1}};
+  return route;
+}
+
+}  // namespace
+
+GatewayHarness::GatewayHarness(std::size_t aEndpoints) : mEngine("dc", 1) {
+  std::vector<std::size_t> numbers(aEndpoints);
+  std::iota(numbers.begin(), numbers.end(), 0);
+  mEngine.SetRetryBudget(RetryBudgetTerms{0.2, 1000, std::chrono::seconds(10)},
+                         1);
+  Publish(numbers);
+  Trust(true);
+}
+
+void GatewayHarness::Publish(const std::vector<std::size_t>& aNumbers) {
+  auto source = std::make_shared<RoutingConfiguration>();
+  source->mVersion = 1;
+  source->mRoutes = {MakeRoute(kSafeHost, RouteKind::Idempotent),
+                     MakeRoute(kOnceHost, RouteKind::AtMostOnce)};
+  source->mServices.emplace(kService, ServiceTerms{kService, "/health", 300});
+  auto endpoints = std::make_shared<EndpointMap>();
+  for (const std::size_t number : aNumbers) {
+    EndpointEntry entry;
+    entry.mId = fmt::format("e{}", number);
+    entry.mService = kService;
+    entry.mAddress = fmt::format("10.0.0.{}:80", number + 1);
+    entry.mDataCentre = "dc";
+    entry.mSlots = 4;
+    endpoints->emplace(entry.mId, entry);
+  }
+  auto view = std::make_shared<RoutingView>();
+  view->mRoutes = std::make_shared<RouteTable>(source);
+  view->mEndpoints = endpoints;
+  view->mRevision = ++mRevision;
+  mEngine.Apply(view, mClock.Now());
+}
+
+CallId GatewayHarness::Ask(bool aIdempotent,
+                           std::optional<Duration> aPatience) {
+  const CallId id = ++mLastCall;
+  mIdempotent[id] = aIdempotent;
+  GatewayRequest request;
+  request.mRequestId = fmt::format("{}", id);
+  request.mMethod = aIdempotent ? "GET" : "POST";
+  request.mHost = aIdempotent ? kSafeHost : kOnceHost;
+  request.mTarget = fmt::format("/{}", id);
+  request.mPatience = aPatience;
+  Act(mEngine.Arrive(id, request, mClock.Now()));
+  return id;
+}
+
+CallId GatewayHarness::AskFor(const std::string& aHost,
+                              const std::string& aTarget) {
+  const CallId id = ++mLastCall;
+  mIdempotent[id] = true;
+  GatewayRequest request;
+  request.mRequestId = fmt::format("{}", id);
+  request.mMethod = "GET";
+  request.mHost = aHost;
+  request.mTarget = aTarget;
+  Act(mEngine.Arrive(id, request, mClock.Now()));
+  return id;
+}
+
+void GatewayHarness::Advance(Duration aTime) {
+  const TimePoint end = mClock.Now() + aTime;
+  while (const auto due = mEngine.NextDue()) {
+    if (*due > end) {
+      break;
+    }
+    if (*due > mClock.Now()) {
+      mClock.Advance(std::chrono::duration_cast<Duration>(*due - mClock.Now()));
+    }
+    Act(mEngine.Tick(mClock.Now()));
+  }
+  mClock.Advance(std::chrono::duration_cast<Duration>(end - mClock.Now()));
+}
+
+void GatewayHarness::End(std::size_t aNumber, AttemptResult aResult,
+                         int aStatus) {
+  const std::vector<AttemptId> running = Running();
+  if (running.empty()) {
+    return;
+  }
+  const AttemptId id = running.at(aNumber % running.size());
+  Attempt& attempt = mAttempts.at(id);
+  attempt.mEnded = true;
+  attempt.mRan = aResult != AttemptResult::NotConnected &&
+                 aResult != AttemptResult::NotExecuted;
+  AttemptReply reply;
+  reply.mResult = aResult;
+  if (aResult == AttemptResult::Answered) {
+    auto response = std::make_shared<Response>();
+    response->mStatus = aStatus;
+    reply.mResponse = std::move(response);
+    reply.mSample = LoadSample{1, 0, 4, 1};
+  }
+  Act(mEngine.AttemptEnded(id, reply, mClock.Now()));
+}
+
+void GatewayHarness::AnswerProbes(bool aAnswered) {
+  const auto probes = mProbes;
+  mProbes.clear();
+  for (const auto& [id, endpoint] : probes) {
+    std::optional<LoadSample> sample;
+    if (aAnswered) {
+      sample = LoadSample{0, 0, 4, 1};
+    }
+    Act(mEngine.ProbeEnded(id, sample, mClock.Now()));
+  }
+}
+
+void GatewayHarness::Leave(CallId aCall) {
+  if (!mAnswers.contains(aCall) && mIdempotent.contains(aCall)) {
+    mLeft.insert(aCall);
+    Act(mEngine.CallerLeft(aCall, mClock.Now()));
+  }
+}
+
+void GatewayHarness::Trust(bool aTrusted) {
+  Act(mEngine.SetTrusted(aTrusted, mClock.Now()));
+}
+
+std::vector<AttemptId> GatewayHarness::Running() const {
+  std::vector<AttemptId> running;
+  for (const auto& [id, attempt] : mAttempts) {
+    if (!attempt.mEnded) {
+      running.push_back(id);
+    }
+  }
+  return running;
+}
+
+std::size_t GatewayHarness::Runs(CallId aCall) const {
+  std::size_t runs = 0;
+  for (const auto& [id, attempt] : mAttempts) {
+    const bool mayRun = !attempt.mEnded || attempt.mRan;
+    runs += attempt.mCall == aCall && mayRun ? 1 : 0;
+  }
+  return runs;
+}
+
+void GatewayHarness::Act(const GatewayActions& aActions) {
+  for (const GatewayAction& action : aActions) {
+    if (const auto* const answer = std::get_if<GatewayAnswer>(&action)) {
+      if (mAnswers.contains(answer->mCall)) {
+        mFault = fmt::format("call {} was answered twice", answer->mCall);
+      }
+      if (mLeft.contains(answer->mCall)) {
+        mFault = fmt::format("call {} was answered after its caller left",
+                             answer->mCall);
+      }
+      mAnswers[answer->mCall] = *answer;
+    } else if (const auto* const start = std::get_if<StartAttempt>(&action)) {
+      if (mAnswers.contains(start->mCall)) {
+        mFault = fmt::format("call {} was sent after its answer", start->mCall);
+      }
+      mAttempts[start->mAttempt] =
+          Attempt{start->mCall, start->mEndpoint, false, false};
+    } else if (const auto* const probe = std::get_if<StartProbe>(&action)) {
+      mProbes[probe->mProbe] = probe->mEndpoint;
+    } else if (const auto* const cancel = std::get_if<CancelAttempt>(&action)) {
+      // An endpoint that is cancelled may have begun.
+      Attempt& attempt = mAttempts.at(cancel->mAttempt);
+      attempt.mEnded = true;
+      attempt.mRan = true;
+    }
+  }
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/gateway_harness.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/gateway/gateway_engine.h"
+#include "tests/fake_clock.h"
+
+namespace papayawheel {
+
+/** Drives one engine by hand and keeps what it did with every request, so that
+ * a test can hold the promises against it. */
+class GatewayHarness {
+ public:
+  static constexpr const char* kSafeHost = "read.example";
+  static constexpr const char* kOnceHost = "order.example";
+  static constexpr const char* kService = "service";
+
+  /** What an attempt did, as the endpoint knows it. */
+  struct Attempt {
+    CallId mCall = 0;
+    std::string mEndpoint;
+    /** The endpoint began to run it. */
+    bool mRan = false;
+    bool mEnded = false;
+  };
+
+  explicit GatewayHarness(std::size_t aEndpoints);
+
+  /** Publishes the endpoints with these numbers. */
+  void Publish(const std::vector<std::size_t>& aNumbers);
+  CallId Ask(bool aIdempotent, std::optional<Duration> aPatience = {});
+  CallId AskFor(const std::string& aHost, const std::string& aTarget);
+  void Advance(Duration aTime);
+  /** Ends the running attempt with a number counted over those that run. */
+  void End(std::size_t aNumber, AttemptResult aResult, int aStatus = 200);
+  void AnswerProbes(bool aAnswered);
+  void Leave(CallId aCall);
+  void Trust(bool aTrusted);
+
+  [[nodiscard]] std::vector<AttemptId> Running() const;
+  [[nodiscard]] const std::map<AttemptId, Attempt>& Attempts() const {
+    return mAttempts;
+  }
+  /** What each call was answered. */
+  [[nodiscard]] const std::map<CallId, GatewayAnswer>& Answers() const {
+    return mAnswers;
+  }
+  [[nodiscard]] bool IsIdempotent(CallId aCall) const {
+    return mIdempotent.at(aCall);
+  }
+  [[nodiscard]] const std::map<CallId, bool>& Calls() const {
+    return mIdempotent;
+  }
+  /** Attempts of a call that an endpoint began to run. */
+  [[nodiscard]] std::size_t Runs(CallId aCall) const;
+  GatewayEngine& Engine() { return mEngine; }
+  FakeClock& Time() { return mClock; }
+  /** A sentence if an answer was given twice, or after the caller left. */
+  [[nodiscard]] const std::string& Fault() const { return mFault; }
+
+ private:
+  void Act(const GatewayActions& aActions);
+
+  FakeClock mClock;
+  GatewayEngine mEngine;
+  std::map<AttemptId, Attempt> mAttempts;
+  std::map<ProbeId, std::string> mProbes;
+  std::map<CallId, GatewayAnswer> mAnswers;
+  std::map<CallId, bool> mIdempotent;
+  std::set<CallId> mLeft;
+  CallId mLastCall = 0;
+  std::uint64_t mRevision = 0;
+  std::string mFault;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/test_gateway_engine.cpp
@@ -0,0 +1,240 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include "tests/core/gateway_harness.h"
+#include "tests/core/schedule_step.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+enum class Act {
+  AskSafe,
+  AskOnce,
+  Answer,
+  Fail,
+  NotExecuted,
+  NotConnected,
+  Lost,
+  Garble,
+  AnswerProbes,
+  LoseProbes,
+  Leave,
+  Distrust,
+  Trust,
+  Shrink,
+  Grow,
+  Wait,
+};
+constexpr int kActs = 16;
+constexpr int kMoreWaits = 3;
+constexpr std::size_t kNumbers = 40;
+
+using Step = ScheduleStep<Act>;
+
+void Apply(GatewayHarness& aHarness, const Step& aStep) {
+  switch (aStep.mAct) {
+    case Act::AskSafe:
+      aHarness.Ask(true);
+      break;
+    case Act::AskOnce:
+      aHarness.Ask(false);
+      break;
+    case Act::Answer:
+      aHarness.End(aStep.mFirst, AttemptResult::Answered);
+      break;
+    case Act::Fail:
+      aHarness.End(aStep.mFirst, AttemptResult::Answered, 500);
+      break;
+    case Act::NotExecuted:
+      aHarness.End(aStep.mFirst, AttemptResult::NotExecuted);
+      break;
+    case Act::NotConnected:
+      aHarness.End(aStep.mFirst, AttemptResult::NotConnected);
+      break;
+    case Act::Lost:
+      aHarness.End(aStep.mFirst, AttemptResult::Lost);
+      break;
+    case Act::Garble:
+      aHarness.End(aStep.mFirst, AttemptResult::Garbled);
+      break;
+    case Act::AnswerProbes:
+      aHarness.AnswerProbes(true);
+      break;
+    case Act::LoseProbes:
+      aHarness.AnswerProbes(false);
+      break;
+    case Act::Leave:
+      aHarness.Leave(aStep.mFirst + 1);
+      break;
+    case Act::Distrust:
+      aHarness.Trust(false);
+      break;
+    case Act::Trust:
+      aHarness.Trust(true);
+      break;
+    case Act::Shrink:
+      aHarness.Publish({aStep.mFirst % 5});
+      break;
+    case Act::Grow:
+      aHarness.Publish({0, 1, 2, 3, 4});
+      break;
+    case Act::Wait:
+      aHarness.Advance(aStep.mTime % 200 + milliseconds(1));
+      break;
+  }
+}
+
+void CheckPromises(GatewayHarness& aHarness) {
+  RC_ASSERT(aHarness.Fault().empty());
+  for (const auto& [call, idempotent] : aHarness.Calls()) {
+    const std::size_t runs = aHarness.Runs(call);
+    RC_ASSERT(runs <= (idempotent ? 2U : 1U));
+    const auto answer = aHarness.Answers().find(call);
+    if (answer == aHarness.Answers().end()) {
+      continue;
+    }
+    const bool refused =
+        answer->second.mResponse == nullptr &&
+        AnswerOf(answer->second.mError).mOutcome == Outcome::NotRun;
+    RC_ASSERT(!refused || runs == 0U);
+  }
+}
+
+void PlaySchedule(const std::vector<Step>& aSteps) {
+  GatewayHarness harness(5);
+  for (const Step& step : aSteps) {
+    Apply(harness, step);
+    CheckPromises(harness);
+  }
+  // Every request of a caller that stayed ends within its route's timeout.
+  harness.Advance(milliseconds(1300));
+  CheckPromises(harness);
+  RC_ASSERT(harness.Engine().InFlight() == 0U);
+}
+
+TEST_CASE("gateway: at most once and true answers under any order of faults") {
+  CHECK(rc::check("schedules", [] {
+    PlaySchedule(*rc::gen::container<std::vector<Step>>(
+        AnyStep<Act>(kActs, kMoreWaits, kNumbers, milliseconds(200))));
+  }));
+}
+
+TEST_CASE("gateway: schedules that once broke a promise") {
+  struct Case {
+    const char* mCause;
+    std::vector<Step> mSteps;
+  };
+  const std::vector<Case> cases = {
+      {"a call that waited for a second endpoint was queued again when the "
+       "first one failed",
+       {{Act::AskSafe, 0, 0, milliseconds(0)},
+        {Act::Shrink, 0, 0, milliseconds(0)},
+        {Act::Answer, 0, 0, milliseconds(0)},
+        {Act::AskSafe, 0, 0, milliseconds(0)},
+        {Act::Wait, 0, 0, milliseconds(131)},
+        {Act::Wait, 0, 0, milliseconds(89)},
+        {Act::Fail, 0, 0, milliseconds(0)}}},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mCause);
+    CHECK(rc::check(one.mCause, [&one] { PlaySchedule(one.mSteps); }));
+  }
+}
+
+TEST_CASE("gateway: what each end of an attempt means for the caller") {
+  struct Case {
+    bool mIdempotent;
+    AttemptResult mResult;
+    int mStatus;
+    /** Attempts after the end, with the first. */
+    std::size_t mAttempts;
+    /** The answer if there is no second attempt; 0 for none yet. */
+    int mAnswer;
+  };
+  const std::vector<Case> cases = {
+      {true, AttemptResult::Answered, 200, 1, 200},
+      {false, AttemptResult::Answered, 200, 1, 200},
+      {false, AttemptResult::Answered, 500, 1, 500},
+      {true, AttemptResult::Answered, 500, 2, 0},
+      {true, AttemptResult::Lost, 0, 2, 0},
+      {true, AttemptResult::Garbled, 0, 2, 0},
+      {true, AttemptResult::NotExecuted, 0, 2, 0},
+      {true, AttemptResult::NotConnected, 0, 2, 0},
+      {false, AttemptResult::Lost, 0, 1, 502},
+      {false, AttemptResult::Garbled, 0, 1, 502},
+      {false, AttemptResult::NotExecuted, 0, 2, 0},
+      {false, AttemptResult::NotConnected, 0, 2, 0},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mIdempotent);
+    CAPTURE(static_cast<int>(one.mResult));
+    CAPTURE(one.mStatus);
+    GatewayHarness harness(3);
+    const CallId call = harness.Ask(one.mIdempotent);
+    harness.AnswerProbes(true);
+    REQUIRE(harness.Attempts().size() == 1);
+    harness.End(0, one.mResult, one.mStatus);
+    harness.AnswerProbes(true);
+    CHECK(harness.Attempts().size() == one.mAttempts);
+    const auto answer = harness.Answers().find(call);
+    if (one.mAnswer == 0) {
+      CHECK(answer == harness.Answers().end());
+      continue;
+    }
+    REQUIRE(answer != harness.Answers().end());
+    const int status = answer->second.mResponse != nullptr
+                           ? answer->second.mResponse->mStatus
+                           : AnswerOf(answer->second.mError).mStatus;
+    CHECK(status == one.mAnswer);
+  }
+}
+
+TEST_CASE("gateway: requests that are refused before they are sent") {
+  struct Case {
+    const char* mHost;
+    const char* mTarget;
+    bool mTrusted;
+    std::size_t mEndpoints;
+    int mStatus;
+  };
+  const std::vector<Case> cases = {
+      {GatewayHarness::kSafeHost, "/x", true, 0, 503},
+      {"other.example", "/x", true, 2, 404},
+      {GatewayHarness::kSafeHost, "/x", false, 2, 503},
+  };
+  for (const Case& one : cases) {
+    GatewayHarness harness(one.mEndpoints);
+    harness.Trust(one.mTrusted);
+    const CallId call = harness.AskFor(one.mHost, one.mTarget);
+    harness.Advance(milliseconds(250));
+    REQUIRE(harness.Answers().contains(call));
+    CHECK(AnswerOf(harness.Answers().at(call).mError).mStatus == one.mStatus);
+  }
+}
+
+TEST_CASE("gateway: requests wait for a view that is vouched for again") {
+  GatewayHarness harness(2);
+  harness.Trust(false);
+  harness.Ask(true);
+  CHECK(harness.Attempts().empty());
+  harness.Trust(true);
+  harness.AnswerProbes(true);
+  CHECK(harness.Attempts().size() == 1);
+}
+
+TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
+  for (const bool idempotent : {true, false}) {
+    GatewayHarness harness(2);
+    const CallId call = harness.Ask(idempotent);
+    harness.AnswerProbes(true);
+    REQUIRE(harness.Running().size() == 1);
+    harness.Leave(call);
+    CHECK(harness.Running().size() == (idempotent ? 0 : 1));
+    CHECK(harness.Engine().InFlight() == (idempotent ? 0 : 1));
+  }
+}
+
+}  // namespace
+}  // namespace papayawheel
