Unanswered questions no longer hold up the others; near endpoints first

Change: a round ends after 12 ms; an endpoint silent for 80 ms pauses; an endpoint elsewhere must be 30 in 100 sooner; a stopping host keeps its time; a host that starts alone reads the store after 40 to 80 ms.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -45,8 +45,9 @@
 constexpr milliseconds kFirstPause{100};
 constexpr std::uint32_t kMostDoublings = 4;
 
-/** What the way to another data centre counts, in time. */
-constexpr milliseconds kDistanceCost{12};
+/** An endpoint of another data centre is chosen if it answers sooner by more
+ * than this part: bytes between data centres cost more than a short wait. */
+constexpr double kDistanceCost = 0.3;
 
 /** Estimates that differ by less than this part are as good as equal. */
 constexpr double kTieBreak = 0.08;
@@ -110,7 +111,7 @@
         state.mFailures, 0, Since(state.mFailuresAt, aNow), kFailureHalfLife);
     entry.mScore = entry.mSeconds * (1 + kFailureCost * failures);
     if (state.mEntry.mDataCentre != mDataCentre) {
-      entry.mScore += ToSeconds(kDistanceCost);
+      entry.mScore *= 1 + kDistanceCost;
     }
     entry.mScore *=
         1 + std::uniform_real_distribution<double>(0, kTieBreak)(mRandom);
@@ -171,12 +172,20 @@
   }
 }
 
+void EndpointPool::NoteUnanswered(const std::string& aId, TimePoint aNow) {
+  const auto found = mEndpoints.find(aId);
+  if (found != mEndpoints.end()) {
+    NoteFailure(found->second, true, aNow);
+  }
+}
+
 void EndpointPool::TakeSample(State& aState, const LoadSample& aSample,
                               TimePoint aNow) {
   const double total = aSample.mRunning + aSample.mQueued;
   aState.mOthers =
       std::max(0.0, total - static_cast<double>(aState.mOwn.size()));
   aState.mPace = aSample.mPace;
+  aState.mFailuresInRow = 0;
   mTellsLoad = true;
   aState.mReportedAt = aNow;
 }
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -83,6 +83,9 @@
   void NoteSample(const std::string& aId, const LoadSample& aSample,
                   TimePoint aNow);
 
+  /** An endpoint that was asked for its load did not answer. */
+  void NoteUnanswered(const std::string& aId, TimePoint aNow);
+
   void Sent(const std::string& aId, TimePoint aNow);
 
   /** An attempt has ended.
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -74,13 +74,18 @@
   std::string mHealthPath;
 };
 
+/** Close the connection of a question that was not answered in time. */
+struct CancelProbe {
+  ProbeId mProbe = 0;
+};
+
 /** Close the connection of an attempt. */
 struct CancelAttempt {
   AttemptId mAttempt = 0;
 };
 
-using GatewayAction =
-    std::variant<GatewayAnswer, StartAttempt, StartProbe, CancelAttempt>;
+using GatewayAction = std::variant<GatewayAnswer, StartAttempt, StartProbe,
+                                   CancelProbe, CancelAttempt>;
 using GatewayActions = std::vector<GatewayAction>;
 
 }  // namespace papayawheel
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -35,6 +35,9 @@
 /** Answers of a round are waited for no longer. */
 constexpr milliseconds kRoundTime{12};
 
+/** An endpoint that tells no load for so long is left alone for a while. */
+constexpr milliseconds kProbeTime{80};
+
 /** A second endpoint is asked after this many times the expected time. */
 constexpr double kHedgeAfter = 1.6;
 
@@ -133,6 +136,10 @@
 void GatewayEngine::AskForLoads(const std::string& aService, TimePoint aNow,
                                 GatewayActions& aActions) {
   ServiceState& service = ServiceOf(aService);
+  if (aNow >= service.mRoundEnds) {
+    // What is still unanswered does not hold up the next round.
+    service.mAsking.clear();
+  }
   if (!service.mAsking.empty() || aNow < service.mNextRound) {
     return;
   }
@@ -149,19 +156,23 @@
       const ProbeId probe = ++mLastProbe;
       mProbes[probe] = Probe{aService, candidate.mId};
       service.mAsking.push_back(probe);
+      mTimers.emplace(aNow + kProbeTime,
+                      Timer{TimerKind::ProbeEnd, 0, {}, probe});
       ++mCounts.mProbes;
       aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
                                        terms->second.mHealthPath});
     }
   }
+  service.mRoundEnds = aNow + kRoundTime;
   ++service.mRounds;
   const bool quick = service.mRounds < kQuickRounds && !candidates.empty();
   service.mNextRound =
       aNow + (quick ? Duration::zero() : Duration(kRoundPause));
   mTimers.emplace(aNow + (candidates.empty() ? kRoundPause : kRoundTime),
-                  Timer{TimerKind::Round, 0, aService});
+                  Timer{TimerKind::Round, 0, aService, 0});
   if (!quick) {
-    mTimers.emplace(service.mNextRound, Timer{TimerKind::Round, 0, aService});
+    mTimers.emplace(service.mNextRound,
+                    Timer{TimerKind::Round, 0, aService, 0});
   }
 }
 
@@ -179,6 +190,8 @@
   std::erase(service.mAsking, aId);
   if (aSample) {
     service.mPool.NoteSample(probe.mEndpoint, *aSample, aNow);
+  } else {
+    service.mPool.NoteUnanswered(probe.mEndpoint, aNow);
   }
   if (service.mAsking.empty()) {
     Pump(probe.mService, aNow, actions);
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -307,6 +307,14 @@
       Pump(timer.mService, aNow, actions);
       continue;
     }
+    if (timer.mKind == TimerKind::ProbeEnd) {
+      if (mProbes.contains(timer.mProbe)) {
+        actions.emplace_back(CancelProbe{timer.mProbe});
+        const auto late = ProbeEnded(timer.mProbe, std::nullopt, aNow);
+        actions.insert(actions.end(), late.begin(), late.end());
+      }
+      continue;
+    }
     const auto found = mCalls.find(timer.mCall);
     if (found == mCalls.end()) {
       continue;
@@ -322,6 +330,7 @@
         }
         break;
       case TimerKind::Round:
+      case TimerKind::ProbeEnd:
         break;
       case TimerKind::Release:
         if (call.mHeld) {
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -131,8 +131,9 @@
     FleetRetryBudget mBudget;
     /** Calls that wait until a good endpoint is found. */
     DispatchQueue mQueue{};
-    /** Questions for loads that are not answered yet. */
+    /** Questions for loads that the round waits for. */
     std::vector<ProbeId> mAsking;
+    TimePoint mRoundEnds;
     /** Rounds of questions since a call was last sent. */
     std::uint32_t mRounds = 0;
     TimePoint mNextRound;
@@ -141,12 +142,14 @@
     TimePoint mLastSend;
   };
 
-  enum class TimerKind { Deadline, Hedge, Release, QueueEnd, Round };
+  enum class TimerKind { Deadline, Hedge, Release, QueueEnd, Round, ProbeEnd };
   struct Timer {
     TimerKind mKind = TimerKind::Deadline;
     CallId mCall = 0;
     /** For rounds. */
     std::string mService{};
+    /** For questions. */
+    ProbeId mProbe = 0;
   };
 
   [[nodiscard]] std::optional<ErrorKind> Check(const GatewayRequest& aRequest,
--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -21,6 +21,9 @@
 /** After a start the other hosts are asked first. */
 constexpr milliseconds kStartGrace{1200};
 
+/** A host that starts hears from its seeds before it reads the store. */
+constexpr milliseconds kFirstPause{40};
+
 /** Pauses after failed calls to the store. */
 constexpr milliseconds kReaderPause{300};
 constexpr milliseconds kOthersPause{1500};
@@ -42,7 +45,7 @@
       mDistrustedAt(aNow),
       mInTouchAgainAt(aNow),
       mNextCall(aNow) {
-  mNextCall += Jitter(milliseconds(300)) + milliseconds(150);
+  mNextCall += kFirstPause + Jitter(kFirstPause);
 }
 
 ViewActions ViewKeeper::Tick(bool aIsReader, TimePoint aNow) {
--- a/model/gateway_model.cpp
+++ b/model/gateway_model.cpp
@@ -206,6 +206,9 @@
 void GatewayModel::Probe(std::size_t aHost, const StartProbe& aProbe) {
   mEvents.After(mSettings.mDelay, [this, aHost, aProbe] {
     ModelEndpoint& endpoint = *mEndpoints.at(IndexOf(aProbe.mEndpoint));
+    if (endpoint.IsSilent()) {
+      return;
+    }
     std::optional<LoadSample> sample;
     if (!endpoint.IsDown()) {
       sample = endpoint.Load();
--- a/model/model_endpoint.cpp
+++ b/model/model_endpoint.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace papayawheel::model {
+namespace {
+
+/** How long a host tries to connect. */
+constexpr std::chrono::milliseconds kConnectTimeout{250};
+
+}  // namespace
 
 ModelEndpoint::ModelEndpoint(EventQueue& aEvents, EndpointTraits aTraits,
                              std::uint32_t aSeed)
@@ -16,6 +22,12 @@
     aDone(ModelOutcome::NotConnected, LoadSample{});
     return id;
   }
+  if (mSilent) {
+    mEvents.After(kConnectTimeout, [done = std::move(aDone)] {
+      done(ModelOutcome::NotConnected, LoadSample{});
+    });
+    return id;
+  }
   Job job{id, aWork, std::move(aDone)};
   if (mRunning.size() < mTraits.mSlots) {
     Start(std::move(job));
@@ -48,6 +60,14 @@
   }
 }
 
+void ModelEndpoint::SetSilent(bool aSilent) {
+  mSilent = aSilent;
+  if (aSilent) {
+    mRunning.clear();
+    mWaiting.clear();
+  }
+}
+
 double ModelEndpoint::NoiseNow() {
   const std::int64_t number =
       mEvents.Now().time_since_epoch() / mTraits.mNoisePeriod;
--- a/model/model_endpoint.h
+++ b/model/model_endpoint.h
@@ -54,6 +54,10 @@
   /** Takes it down or brings it back; what it ran is lost. */
   void SetDown(bool aDown);
   [[nodiscard]] bool IsDown() const { return mDown; }
+  /** Takes it off the network: what it ran is lost without a word, and
+   * connections are not made. */
+  void SetSilent(bool aSilent);
+  [[nodiscard]] bool IsSilent() const { return mSilent; }
   EndpointTraits& Traits() { return mTraits; }
   [[nodiscard]] std::uint64_t Arrivals() const { return mArrivals; }
 
@@ -79,6 +83,7 @@
   std::int64_t mNoisePeriodNumber = -1;
   bool mNoisy = false;
   bool mDown = false;
+  bool mSilent = false;
 };
 
 }  // namespace papayawheel::model
--- a/model/scenarios.cpp
+++ b/model/scenarios.cpp
@@ -83,6 +83,11 @@
   });
 }
 
+void PlaySilentEndpoints(GatewayModel& aModel) {
+  PlayChanged(aModel, 5,
+              [](ModelEndpoint& aEndpoint) { aEndpoint.SetSilent(true); });
+}
+
 void PlayFlapping(GatewayModel& aModel) {
   for (int turn = 0; turn < 5; ++turn) {
     for (const bool down : {true, false}) {
@@ -111,6 +116,9 @@
        OrderService, PlaySlowEndpoints},
       {"failing endpoints", "three of fifteen fail 45 in 100 of their requests",
        OrderService, PlayFailingEndpoints},
+      {"silent endpoints",
+       "five of fifteen vanish from the network and are still published",
+       OrderService, PlaySilentEndpoints},
       {"flapping", "two of fifteen go down and up every 1.4 s", OrderService,
        PlayFlapping},
   };
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -235,6 +235,12 @@
       StartSending(*start);
     } else if (const auto* const probe = std::get_if<StartProbe>(&action)) {
       Probe(*probe);
+    } else if (const auto* const late = std::get_if<CancelProbe>(&action)) {
+      const auto probing = mProbing.find(late->mProbe);
+      if (probing != mProbing.end()) {
+        mClient.Cancel(probing->second);
+        mProbing.erase(probing);
+      }
     } else if (const auto* const cancel = std::get_if<CancelAttempt>(&action)) {
       const auto sending = mSending.find(cancel->mAttempt);
       if (sending != mSending.end()) {
@@ -340,6 +346,10 @@
   if (const auto due = mEngine.NextDue()) {
     mTimerDue = std::min(mTimerDue, std::max(*due, now));
   }
+  const TimePoint end = mLeavingSince + mSettings.mGrace - kGraceReserve;
+  if (mLeaving && !mDone) {
+    mTimerDue = std::min(mTimerDue, std::max(end, now));
+  }
   mTimer.expires_after(mTimerDue - now);
   mTimer.async_wait([this](asio::error_code aError) {
     if (!aError) {
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -96,6 +96,7 @@
   /** Calls of each connection that are not answered. */
   std::unordered_map<std::uint64_t, std::vector<CallId>> mByConnection;
   std::unordered_map<AttemptId, EndpointClient::Id> mSending;
+  std::unordered_map<ProbeId, EndpointClient::Id> mProbing;
   CallId mLastCall = 0;
   bool mLeaving = false;
   bool mDone = false;
