Connections made in time are kept; a call given up while others wait; brief gossip

Once connected an attempt is never taken for unsent. Test with a blocked loop failed first.

Also: hosts that know each other exchange records without addresses, two pings near and one far a period.

--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -79,7 +79,9 @@
                                              false, aCall.mArrivedAt,
                                              aCall.mDeadline});
   mTimers.emplace(aNow + longest, Timer{TimerKind::QueueEnd, aId});
-  Pump(aCall.mService, aNow, aActions);
+  // The call may end while the queue is worked off.
+  const std::string name = aCall.mService;
+  Pump(name, aNow, aActions);
 }
 
 void GatewayEngine::LeaveQueue(CallId aId, Call& aCall) {
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -11,8 +11,9 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kPeriod{500};
-/** Hosts pinged in each period. */
-constexpr std::size_t kPingsPerPeriod = 3;
+/** Hosts pinged in each period, in the data centre and elsewhere. */
+constexpr std::size_t kNearPings = 2;
+constexpr std::size_t kFarPings = 1;
 /** A ping unanswered for this long is sent again, then given up. */
 constexpr milliseconds kPingTimeout{250};
 constexpr std::uint32_t kMostUnanswered = 2;
@@ -109,20 +110,31 @@
 }
 
 void GossipEngine::PingSome(TimePoint aNow, Datagrams& aDatagrams) {
-  std::size_t pinged = 0;
+  PingNext(true, kNearPings, aNow, aDatagrams);
+  PingNext(false, kFarPings, aNow, aDatagrams);
+}
+
+void GossipEngine::PingNext(bool aNear, std::size_t aCount, TimePoint aNow,
+                            Datagrams& aDatagrams) {
+  std::vector<std::string>& round = aNear ? mNearRound : mFarRound;
   std::size_t tries = mMembers.size();
-  while (pinged < kPingsPerPeriod && tries-- > 0) {
-    if (mRound.empty()) {
+  while (aCount > 0 && tries-- > 0) {
+    if (round.empty()) {
       for (const auto& [name, member] : mMembers) {
-        mRound.push_back(name);
+        if ((member.mRecord.mDataCentre == mSelf.mDataCentre) == aNear) {
+          round.push_back(name);
+        }
       }
-      std::shuffle(mRound.begin(), mRound.end(), mRandom);
+      std::shuffle(round.begin(), round.end(), mRandom);
     }
-    const auto found = mMembers.find(mRound.back());
-    mRound.pop_back();
+    if (round.empty()) {
+      return;
+    }
+    const auto found = mMembers.find(round.back());
+    round.pop_back();
     if (found != mMembers.end() && !found->second.mPingedAt) {
       Ping(found->second, aNow, aDatagrams);
-      ++pinged;
+      --aCount;
     }
   }
 }
@@ -130,8 +142,21 @@
 void GossipEngine::Ping(Member& aMember, TimePoint aNow,
                         Datagrams& aDatagrams) {
   aMember.mPingedAt = aNow;
-  aDatagrams.push_back(Datagram{aMember.mRecord.mGossipAddress,
-                                Compose(GossipMessage::Kind::Ping)});
+  SendTo(aMember, Compose(GossipMessage::Kind::Ping), aDatagrams);
+}
+
+void GossipEngine::SendTo(Member& aMember, GossipMessage aMessage,
+                          Datagrams& aDatagrams) {
+  if (aMember.mReachable && aMember.mKnowsVersion == mSelf.mVersion) {
+    aMessage.mSender = MemberRecord{};
+    aMessage.mSender.mName = mSelf.mName;
+    aMessage.mSender.mIncarnation = mSelf.mIncarnation;
+    aMessage.mSender.mVersion = mSelf.mVersion;
+  } else {
+    aMember.mToldVersion = mSelf.mVersion;
+  }
+  aDatagrams.push_back(
+      Datagram{aMember.mRecord.mGossipAddress, std::move(aMessage)});
 }
 
 void GossipEngine::CheckPings(TimePoint aNow, Datagrams& aDatagrams) {
@@ -146,6 +171,7 @@
       Ping(member, aNow, aDatagrams);
       continue;
     }
+    member.mKnowsVersion.reset();
     if (member.mReachable) {
       member.mReachable = false;
       Changed();
@@ -174,12 +200,14 @@
   const bool isNew =
       known == mMembers.end() ||
       known->second.mRecord.mIncarnation < aMessage.mSender.mIncarnation;
-  Heard(aMessage.mSender, aNow);
+  if (!TakeSender(aMessage, aNow)) {
+    return datagrams;
+  }
+  Member& sender = mMembers.at(aMessage.mSender.mName);
   if (aMessage.mKind == GossipMessage::Kind::Ping) {
-    datagrams.push_back(Datagram{aMessage.mSender.mGossipAddress,
-                                 Compose(GossipMessage::Kind::Ack)});
+    SendTo(sender, Compose(GossipMessage::Kind::Ack), datagrams);
     if (isNew) {
-      SendRoster(aMessage.mSender.mGossipAddress, datagrams);
+      SendRoster(sender.mRecord.mGossipAddress, datagrams);
     }
   }
   for (const MemberRecord& record : aMessage.mRecords) {
@@ -196,17 +224,31 @@
   return datagrams;
 }
 
-void GossipEngine::Heard(const MemberRecord& aSender, TimePoint aNow) {
-  Member& member = mMembers[aSender.mName];
-  if (IsNewer(member.mRecord, aSender)) {
+bool GossipEngine::TakeSender(const GossipMessage& aMessage, TimePoint aNow) {
+  const MemberRecord& sender = aMessage.mSender;
+  const auto found = mMembers.find(sender.mName);
+  if (sender.IsBrief() &&
+      (found == mMembers.end() || IsNewer(sender, found->second.mRecord))) {
+    // It believes that it is known here. Without an answer it introduces
+    // itself once more.
+    return false;
+  }
+  Member& member = mMembers[sender.mName];
+  if (IsNewer(member.mRecord, sender)) {
     // A datagram from before a restart or a change of state.
-    return;
+    return true;
   }
-  if (IsNewer(aSender, member.mRecord)) {
-    mNews[aSender.mName] = kTellings;
+  if (IsNewer(sender, member.mRecord)) {
+    if (sender.mIncarnation != member.mRecord.mIncarnation) {
+      member.mKnowsVersion.reset();
+    }
+    member.mRecord = sender;
+    mNews[sender.mName] = kTellings;
     Changed();
   }
-  member.mRecord = aSender;
+  if (aMessage.mKind == GossipMessage::Kind::Ack) {
+    member.mKnowsVersion = member.mToldVersion;
+  }
   member.mHeardAt = aNow;
   member.mPingedAt.reset();
   member.mUnanswered = 0;
@@ -214,6 +256,7 @@
     member.mReachable = true;
     Changed();
   }
+  return true;
 }
 
 void GossipEngine::TakeRecord(const MemberRecord& aRecord, TimePoint aNow,
@@ -315,7 +358,7 @@
   for (auto& [name, member] : mMembers) {
     member.mPingedAt.reset();
     member.mUnanswered = 0;
-    if (member.mReachable && pinged++ < 2 * kPingsPerPeriod) {
+    if (member.mReachable && pinged++ < 2 * (kNearPings + kFarPings)) {
       Ping(member, aNow, datagrams);
     }
   }
@@ -332,6 +375,14 @@
   return reachable;
 }
 
+std::optional<MemberRecord> GossipEngine::Find(const std::string& aName) const {
+  const auto found = mMembers.find(aName);
+  if (found == mMembers.end()) {
+    return std::nullopt;
+  }
+  return found->second.mRecord;
+}
+
 bool GossipEngine::RelaysNews() const { return mMembers.size() > kSmallFleet; }
 
 void GossipEngine::Forget(TimePoint aNow) {
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -49,6 +49,9 @@
 
   /** Hosts that can be reached, without this one. */
   [[nodiscard]] std::vector<MemberRecord> Reachable() const;
+  /** What a known host says of itself. */
+  [[nodiscard]] std::optional<MemberRecord> Find(
+      const std::string& aName) const;
   /** Hosts that are known, reachable or not, with this one. */
   [[nodiscard]] std::size_t Known() const { return mMembers.size() + 1; }
   [[nodiscard]] const MemberRecord& Self() const { return mSelf; }
@@ -66,16 +69,25 @@
     /** When the ping that is not answered yet was sent. */
     std::optional<TimePoint> mPingedAt;
     std::uint32_t mUnanswered = 0;
+    /** The version of this host's record that it is known to have. */
+    std::optional<std::uint32_t> mKnowsVersion;
+    /** The version that was last sent to it in full. */
+    std::uint32_t mToldVersion = 0;
   };
 
   [[nodiscard]] GossipMessage Compose(GossipMessage::Kind aKind);
+  /** Sends a message to a known host, brief if it knows this one. */
+  void SendTo(Member& aMember, GossipMessage aMessage, Datagrams& aDatagrams);
+  /** Takes a message's sender over; false if it must introduce itself. */
+  bool TakeSender(const GossipMessage& aMessage, TimePoint aNow);
   void Ping(Member& aMember, TimePoint aNow, Datagrams& aDatagrams);
   void PingSeeds(TimePoint aNow, Datagrams& aDatagrams);
   void PingSome(TimePoint aNow, Datagrams& aDatagrams);
+  void PingNext(bool aNear, std::size_t aCount, TimePoint aNow,
+                Datagrams& aDatagrams);
   void CheckPings(TimePoint aNow, Datagrams& aDatagrams);
   void TakeRecord(const MemberRecord& aRecord, TimePoint aNow,
                   Datagrams& aDatagrams);
-  void Heard(const MemberRecord& aSender, TimePoint aNow);
   void SendRoster(const std::string& aAddress, Datagrams& aDatagrams);
   void Forget(TimePoint aNow);
   void Changed();
@@ -85,8 +97,10 @@
   std::vector<std::string> mSeeds;
   ViewSummary mView;
   std::map<std::string, Member> mMembers;
-  /** Names in the order in which they are pinged. */
-  std::vector<std::string> mRound;
+  /** Names in the order in which they are pinged, in the data centre and
+   * elsewhere. */
+  std::vector<std::string> mNearRound;
+  std::vector<std::string> mFarRound;
   /** Records that are passed on, and how often still. */
   std::map<std::string, std::uint32_t> mNews;
   TimePoint mNextPeriod;
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -37,6 +37,9 @@
   MemberState mState = MemberState::Starting;
   /** Its reads of the platform's store fail. */
   bool mStoreFailing = false;
+
+  /** Whether it holds no more than name, incarnation and version. */
+  [[nodiscard]] bool IsBrief() const { return mGossipAddress.empty(); }
 };
 
 /** What a host knows of the platform's store. */
@@ -54,6 +57,7 @@
   enum class Kind : std::uint8_t { Ping, Ack, Notice };
 
   Kind mKind = Kind::Ping;
+  /** Without data centre and addresses if the receiver knows them. */
   MemberRecord mSender;
   ViewSummary mView;
   /** Records of other hosts that may be news. */
--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <deque>
@@ -51,6 +52,7 @@
   std::array<char, kReadSize> mBuffer{};
   std::string mEndpoint;
   std::string mAddress;
+  bool mConnected = false;
   /** The request that it carries; 0 while it is idle. */
   EndpointClient::Id mRequest = 0;
   bool mWriting = false;
@@ -185,9 +187,12 @@
     connection->mTimer.expires_after(aPending.mRequest.mConnectTimeout);
     connection->mTimer.async_wait(
         [self = shared_from_this(), connection, aId](asio::error_code aError) {
-          if (!aError && connection->mRequest == aId) {
-            self->End(aId, EndpointOutcome::NotConnected, nullptr,
-                      "connecting took too long");
+          if (!aError) {
+            // A process that was held up may have been connected meanwhile;
+            // that event stands in the queue before this one.
+            asio::post(self->mContext, [self, connection, aId] {
+              self->ConnectTimedOut(connection, aId);
+            });
           }
         });
     connection->mSocket.async_connect(
@@ -197,6 +202,14 @@
         });
   }
 
+  void ConnectTimedOut(const ConnectionPtr& aConnection, Id aId) {
+    // Once connected the request may have been written.
+    if (!aConnection->mConnected && aConnection->mRequest == aId) {
+      End(aId, EndpointOutcome::NotConnected, nullptr,
+          "connecting took too long");
+    }
+  }
+
   void FailLater(Id aId, const std::string& aReason) {
     const auto connection = mPending.at(aId).mConnection;
     connection->mTimer.expires_after(milliseconds(0));
@@ -216,6 +229,7 @@
       End(aId, EndpointOutcome::NotConnected, nullptr, aError.message());
       return;
     }
+    aConnection->mConnected = true;
     SetOptions(aConnection->mSocket);
     Write(aConnection);
   }
--- a/model/gateway_model.cpp
+++ b/model/gateway_model.cpp
@@ -188,6 +188,9 @@
                 AttemptReply reply;
                 if (aOutcome == ModelOutcome::NotConnected) {
                   reply.mResult = AttemptResult::NotConnected;
+                } else if (aOutcome == ModelOutcome::NotExecuted) {
+                  reply.mResult = AttemptResult::NotExecuted;
+                  reply.mSample = aSample;
                 } else {
                   auto response = std::make_shared<Response>();
                   response->mStatus =
--- a/model/model_endpoint.cpp
+++ b/model/model_endpoint.cpp
@@ -28,6 +28,10 @@
     });
     return id;
   }
+  if (std::bernoulli_distribution(mTraits.mShedShare)(mRandom)) {
+    aDone(ModelOutcome::NotExecuted, Load());
+    return id;
+  }
   Job job{id, aWork, std::move(aDone)};
   if (mRunning.size() < mTraits.mSlots) {
     Start(std::move(job));
--- a/model/model_endpoint.h
+++ b/model/model_endpoint.h
@@ -26,12 +26,14 @@
   Duration mNoisePeriod = std::chrono::milliseconds(150);
   /** Part of the requests that end with a failure of the endpoint. */
   double mFailureShare = 0;
+  /** Part of the requests that it turns away though it has room. */
+  double mShedShare = 0;
   /** Work takes this many times as long, without a sign in the reports. */
   double mHiddenSlowness = 1;
 };
 
 /** How a request ended at a model endpoint. */
-enum class ModelOutcome { Answered, Failed, NotConnected };
+enum class ModelOutcome { Answered, Failed, NotExecuted, NotConnected };
 
 /** One endpoint on virtual time. */
 class ModelEndpoint {
--- a/model/scenarios.cpp
+++ b/model/scenarios.cpp
@@ -83,6 +83,28 @@
   });
 }
 
+void PlaySheddingEndpoints(GatewayModel& aModel) {
+  PlayChanged(aModel, 15, [](ModelEndpoint& aEndpoint) {
+    aEndpoint.Traits().mShedShare = 0.55;
+  });
+}
+
+/** A fleet so large that little of the retry budget falls to each host. */
+ModelSettings SmallBudget() {
+  ModelSettings settings = OrderService();
+  settings.mBudget.mSlack = 18;
+  return settings;
+}
+
+void PlaySheddingCrowd(GatewayModel& aModel) {
+  aModel.At(seconds(3), [&aModel] {
+    for (std::size_t index = 0; index < 15; ++index) {
+      aModel.Endpoint(index).Traits().mShedShare = 0.55;
+    }
+  });
+  PlayFlashCrowd(aModel);
+}
+
 void PlaySilentEndpoints(GatewayModel& aModel) {
   PlayChanged(aModel, 5,
               [](ModelEndpoint& aEndpoint) { aEndpoint.SetSilent(true); });
@@ -116,6 +138,12 @@
        OrderService, PlaySlowEndpoints},
       {"failing endpoints", "three of fifteen fail 45 in 100 of their requests",
        OrderService, PlayFailingEndpoints},
+      {"shedding endpoints",
+       "all turn away 55 in 100 of their requests though they have room",
+       OrderService, PlaySheddingEndpoints},
+      {"shedding crowd",
+       "the same in a flash crowd, with a small retry budget a host",
+       SmallBudget, PlaySheddingCrowd},
       {"silent endpoints",
        "five of fifteen vanish from the network and are still published",
        OrderService, PlaySilentEndpoints},
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -235,7 +235,9 @@
   }
   mGossip.SetView(mKeeper.Summary(now));
   Send(mGossip.Arrived(aMessage, now));
-  Act(mKeeper.PeerTold(aMessage.mSender.mControlAddress, aMessage.mView, now));
+  if (const auto sender = mGossip.Find(aMessage.mSender.mName)) {
+    Act(mKeeper.PeerTold(sender->mControlAddress, aMessage.mView, now));
+  }
   for (const EndpointCrash& crash : aMessage.mCrashes) {
     mHooks.mCrashTold(crash);
   }
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -13,7 +13,13 @@
 /** Datagrams of another version are dropped. */
 constexpr int kVersion = 1;
 
+/** Fields of a brief record. */
+constexpr std::size_t kBriefFields = 3;
+
 Json RenderRecord(const MemberRecord& aRecord) {
+  if (aRecord.IsBrief()) {
+    return Json::array({aRecord.mName, aRecord.mIncarnation, aRecord.mVersion});
+  }
   return Json::array({aRecord.mName, aRecord.mDataCentre,
                       aRecord.mGossipAddress, aRecord.mControlAddress,
                       aRecord.mFrontAddress, aRecord.mIncarnation,
@@ -24,6 +30,11 @@
 MemberRecord ParseRecord(const Json& aRecord) {
   MemberRecord record;
   record.mName = aRecord.at(0).get<std::string>();
+  if (aRecord.size() == kBriefFields) {
+    record.mIncarnation = aRecord.at(1).get<std::uint64_t>();
+    record.mVersion = aRecord.at(2).get<std::uint32_t>();
+    return record;
+  }
   record.mDataCentre = aRecord.at(1).get<std::string>();
   record.mGossipAddress = aRecord.at(2).get<std::string>();
   record.mControlAddress = aRecord.at(3).get<std::string>();
--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -9,12 +9,13 @@
 
 using std::chrono::milliseconds;
 
-Route MakeRoute(const char* aHost, RouteKind aKind) {
+Route MakeRoute(const char* aHost, RouteKind aKind, std::uint32_t aPriority) {
   Route route;
   route.mName = aHost;
   route.mHost = aHost;
   route.mPrefix = "/";
   route.mKind = aKind;
+  route.mPriority = aPriority;
   route.mTimeout = milliseconds(1000);
   route.mTargetLatency = milliseconds(300);
   route.mMaxAttempts = 2;
@@ -24,11 +25,12 @@
 
 }  // namespace
 
-GatewayHarness::GatewayHarness(std::size_t aEndpoints) : mEngine("dc", 1) {
+GatewayHarness::GatewayHarness(std::size_t aEndpoints, double aRetrySlack)
+    : mEngine("dc", 1) {
   std::vector<std::size_t> numbers(aEndpoints);
   std::iota(numbers.begin(), numbers.end(), 0);
-  mEngine.SetRetryBudget(RetryBudgetTerms{0.2, 1000, std::chrono::seconds(10)},
-                         1);
+  mEngine.SetRetryBudget(
+      RetryBudgetTerms{0.2, aRetrySlack, std::chrono::seconds(10)}, 1);
   Publish(numbers);
   Trust(true);
 }
@@ -36,8 +38,8 @@
 void GatewayHarness::Publish(const std::vector<std::size_t>& aNumbers) {
   auto source = std::make_shared<RoutingConfiguration>();
   source->mVersion = 1;
-  source->mRoutes = {MakeRoute(kSafeHost, RouteKind::Idempotent),
-                     MakeRoute(kOnceHost, RouteKind::AtMostOnce)};
+  source->mRoutes = {MakeRoute(kSafeHost, RouteKind::Idempotent, 2),
+                     MakeRoute(kOnceHost, RouteKind::AtMostOnce, 1)};
   source->mServices.emplace(kService, ServiceTerms{kService, "/health", 300});
   auto endpoints = std::make_shared<EndpointMap>();
   for (const std::size_t number : aNumbers) {
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -29,7 +29,8 @@
     bool mEnded = false;
   };
 
-  explicit GatewayHarness(std::size_t aEndpoints);
+  /** @param aRetrySlack repeats that are allowed beyond the ratio. */
+  explicit GatewayHarness(std::size_t aEndpoints, double aRetrySlack = 1000);
 
   /** Publishes the endpoints with these numbers. */
   void Publish(const std::vector<std::size_t>& aNumbers);
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -102,8 +102,8 @@
   }
 }
 
-void PlaySchedule(const std::vector<Step>& aSteps) {
-  GatewayHarness harness(5);
+void PlaySchedule(const std::vector<Step>& aSteps, double aRetrySlack) {
+  GatewayHarness harness(5, aRetrySlack);
   for (const Step& step : aSteps) {
     Apply(harness, step);
     CheckPromises(harness);
@@ -116,19 +116,22 @@
 
 TEST_CASE("gateway: at most once and true answers under any order of faults") {
   CHECK(rc::check("schedules", [] {
-    PlaySchedule(*rc::gen::container<std::vector<Step>>(
-        AnyStep<Act>(kActs, kMoreWaits, kNumbers, milliseconds(200))));
+    PlaySchedule(*rc::gen::container<std::vector<Step>>(AnyStep<Act>(
+                     kActs, kMoreWaits, kNumbers, milliseconds(200))),
+                 *rc::gen::element(0.0, 2.0, 1000.0));
   }));
 }
 
 TEST_CASE("gateway: schedules that once broke a promise") {
   struct Case {
     const char* mCause;
+    double mRetrySlack;
     std::vector<Step> mSteps;
   };
   const std::vector<Case> cases = {
       {"a call that waited for a second endpoint was queued again when the "
        "first one failed",
+       1000,
        {{Act::AskSafe, 0, 0, milliseconds(0)},
         {Act::Shrink, 0, 0, milliseconds(0)},
         {Act::Answer, 0, 0, milliseconds(0)},
@@ -139,7 +142,8 @@
   };
   for (const Case& one : cases) {
     CAPTURE(one.mCause);
-    CHECK(rc::check(one.mCause, [&one] { PlaySchedule(one.mSteps); }));
+    CHECK(rc::check(one.mCause,
+                    [&one] { PlaySchedule(one.mSteps, one.mRetrySlack); }));
   }
 }
 
@@ -224,6 +228,55 @@
   CHECK(harness.Attempts().size() == 1);
 }
 
+/** The number, among those that run, of the attempt of a call. */
+std::size_t NumberOf(const GatewayHarness& aHarness, CallId aCall) {
+  std::size_t number = 0;
+  for (const AttemptId id : aHarness.Running()) {
+    if (aHarness.Attempts().at(id).mCall == aCall) {
+      return number;
+    }
+    ++number;
+  }
+  return number;
+}
+
+std::string EndpointOf(const GatewayHarness& aHarness, CallId aCall) {
+  const auto running = aHarness.Running();
+  return aHarness.Attempts()
+      .at(running.at(NumberOf(aHarness, aCall)))
+      .mEndpoint;
+}
+
+TEST_CASE("gateway: a call is given up while another waits behind it") {
+  constexpr double kNoRepeats = 0;
+  GatewayHarness harness(2, kNoRepeats);
+  // From the first answer on it is known that the endpoints tell their load.
+  harness.Ask(true);
+  harness.End(0, AttemptResult::Answered);
+  const CallId urgent = harness.Ask(false);
+  std::vector<CallId> elsewhere;
+  const std::vector<CallId> asked = {harness.Ask(true), harness.Ask(true),
+                                     harness.Ask(true), harness.Ask(true)};
+  harness.AnswerProbes(true);
+  for (const CallId call : asked) {
+    if (EndpointOf(harness, call) != EndpointOf(harness, urgent)) {
+      elsewhere.push_back(call);
+    }
+  }
+  REQUIRE(elsewhere.size() >= 2);
+  const CallId waits = elsewhere.front();
+  harness.Advance(milliseconds(13));
+  // The one that waits can only go to the urgent one's endpoint, of which
+  // nothing is known now; the other endpoint has just told its load.
+  harness.End(NumberOf(harness, waits), AttemptResult::NotExecuted);
+  harness.End(NumberOf(harness, elsewhere.back()), AttemptResult::Answered);
+  REQUIRE_FALSE(harness.Answers().contains(waits));
+  harness.End(NumberOf(harness, urgent), AttemptResult::NotExecuted);
+  REQUIRE(harness.Answers().contains(urgent));
+  CHECK(harness.Answers().at(urgent).mError == ErrorKind::Overloaded);
+  CHECK_FALSE(harness.Answers().contains(waits));
+}
+
 TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
   for (const bool idempotent : {true, false}) {
     GatewayHarness harness(2);
--- /dev/null
+++ b/tests/drivers/test_endpoint_client.cpp
@@ -0,0 +1,239 @@
+#include <doctest/doctest.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "drivers/endpoint_client.h"
+
+namespace papayawheel {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/** An endpoint that answers each connection from a script, on the context of
+ * the test. */
+class ScriptedEndpoint {
+ public:
+  /** @param aScript what to write for each request of a connection. */
+  ScriptedEndpoint(asio::io_context& aContext,
+                   std::vector<std::string> aScript, bool aCloseAfterwards)
+      : mAcceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        mScript(std::move(aScript)),
+        mCloseAfterwards(aCloseAfterwards) {
+    Accept();
+  }
+
+  [[nodiscard]] std::string Address() const {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  [[nodiscard]] std::size_t Connections() const { return mConnections; }
+  [[nodiscard]] std::size_t Requests() const { return mNext; }
+
+ private:
+  struct Peer {
+    explicit Peer(tcp::socket aSocket) : mSocket(std::move(aSocket)) {}
+    tcp::socket mSocket;
+    std::string mBuffer = std::string(4096, '\0');
+  };
+
+  void Accept() {
+    mAcceptor.async_accept([this](asio::error_code aError, tcp::socket aPeer) {
+      if (!aError) {
+        ++mConnections;
+        Read(std::make_shared<Peer>(std::move(aPeer)));
+        Accept();
+      }
+    });
+  }
+
+  void Read(const std::shared_ptr<Peer>& aPeer) {
+    aPeer->mSocket.async_read_some(
+        asio::buffer(aPeer->mBuffer),
+        [this, aPeer](asio::error_code aError, std::size_t /*aSize*/) {
+          if (aError || mNext >= mScript.size()) {
+            return;
+          }
+          const std::string text = mScript.at(mNext++);
+          asio::write(aPeer->mSocket, asio::buffer(text));
+          if (mCloseAfterwards) {
+            aPeer->mSocket.close();
+            return;
+          }
+          Read(aPeer);
+        });
+  }
+
+  tcp::acceptor mAcceptor;
+  std::vector<std::string> mScript;
+  bool mCloseAfterwards;
+  std::size_t mConnections = 0;
+  std::size_t mNext = 0;
+};
+
+std::string Reply(const std::string& aId, const std::string& aBody) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+EndpointRequest MakeRequest(const std::string& aAddress,
+                            const std::string& aId) {
+  EndpointRequest request;
+  request.mEndpoint = "e";
+  request.mAddress = aAddress;
+  request.mMostIdle = std::chrono::seconds(10);
+  request.mEchoName = "Request-Id";
+  request.mEchoValue = aId;
+  return request;
+}
+
+/** Sends requests one after the other and returns how each ended. */
+std::vector<EndpointAnswer> SendAll(asio::io_context& aContext,
+                                    EndpointClient& aClient,
+                                    const std::string& aAddress,
+                                    const std::vector<std::string>& aIds) {
+  std::vector<EndpointAnswer> answers;
+  for (const std::string& id : aIds) {
+    std::optional<EndpointAnswer> answer;
+    aClient.Send(MakeRequest(aAddress, id),
+                 [&answer](const EndpointAnswer& aAnswer) { answer = aAnswer; });
+    aContext.restart();
+    while (!answer && aContext.run_one() > 0) {
+    }
+    answers.push_back(*answer);
+  }
+  return answers;
+}
+
+TEST_CASE("endpoint client: what the bytes of an endpoint mean") {
+  struct Case {
+    const char* mWhat;
+    std::vector<std::string> mScript;
+    bool mCloses;
+    std::vector<std::string> mIds;
+    std::vector<EndpointOutcome> mOutcomes;
+    std::vector<std::string> mBodies;
+    std::size_t mConnections;
+  };
+  using Outcome = EndpointOutcome;
+  const std::vector<Case> cases = {
+      {"two answers on one connection",
+       {Reply("1", "one"), Reply("2", "two")},
+       false,
+       {"1", "2"},
+       {Outcome::Answered, Outcome::Answered},
+       {"one", "two"},
+       1},
+      {"a late answer of an earlier request is passed over",
+       {Reply("0", "old") + Reply("1", "one")},
+       false,
+       {"1"},
+       {Outcome::Answered},
+       {"one"},
+       1},
+      {"a second answer ends the use of the connection",
+       {Reply("1", "one") + Reply("1", "one"), Reply("2", "two")},
+       false,
+       {"1", "2"},
+       {Outcome::Answered, Outcome::Answered},
+       {"one", "two"},
+       2},
+      {"an answer without length ends with the connection",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nall"},
+       true,
+       {"1"},
+       {Outcome::Answered},
+       {"all"},
+       1},
+      {"an answer that breaks off is not whole",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Length: 9\r\n\r\npart"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
+      {"bytes that are no answer",
+       {"\x01\x02garbage\r\n\r\n"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
+      {"a success that names no request",
+       {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+       false,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
+      {"interim answers are skipped",
+       {"HTTP/1.1 103 Early Hints\r\n\r\n" + Reply("1", "one")},
+       false,
+       {"1"},
+       {Outcome::Answered},
+       {"one"},
+       1},
+      {"a connection that closes without a byte",
+       {""},
+       true,
+       {"1"},
+       {Outcome::Lost},
+       {""},
+       1},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    asio::io_context context;
+    ScriptedEndpoint endpoint(context, one.mScript, one.mCloses);
+    EndpointClient client(context);
+    const auto answers =
+        SendAll(context, client, endpoint.Address(), one.mIds);
+    for (std::size_t index = 0; index < answers.size(); ++index) {
+      CHECK(answers[index].mOutcome == one.mOutcomes[index]);
+      if (answers[index].mResponse != nullptr) {
+        CHECK(answers[index].mResponse->mBody == one.mBodies[index]);
+      }
+    }
+    CHECK(endpoint.Connections() == one.mConnections);
+  }
+}
+
+TEST_CASE("endpoint client: a connection that was made in time is not given up "
+          "by a process that was held up") {
+  asio::io_context context;
+  ScriptedEndpoint endpoint(context, {Reply("1", "one")}, false);
+  EndpointClient client(context);
+  EndpointRequest request = MakeRequest(endpoint.Address(), "1");
+  request.mConnectTimeout = milliseconds(20);
+  std::optional<EndpointAnswer> answer;
+  client.Send(request,
+              [&answer](const EndpointAnswer& aAnswer) { answer = aAnswer; });
+  // The connection is made by the kernel while the process stands still, so
+  // both its end and the timeout are due at once.
+  std::this_thread::sleep_for(milliseconds(60));
+  while (!answer && context.run_one() > 0) {
+  }
+  CHECK(answer->mOutcome == EndpointOutcome::Answered);
+}
+
+TEST_CASE("endpoint client: an address without a listener") {
+  asio::io_context context;
+  std::string address;
+  {
+    ScriptedEndpoint gone(context, {}, true);
+    address = gone.Address();
+  }
+  EndpointClient client(context);
+  const auto answers = SendAll(context, client, address, {"1"});
+  CHECK(answers.front().mOutcome == EndpointOutcome::NotConnected);
+}
+
+}  // namespace
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/model/test_load_patterns.cpp
@@ -0,0 +1,70 @@
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "model/scenarios.h"
+
+namespace papayawheel::model {
+namespace {
+
+/** What a pattern must at least leave in 100 requests that are answered within
+ * their target latency, over some seeds. */
+struct Bound {
+  const char* mScenario;
+  double mStockCheck;
+  double mOrderPlace;
+};
+
+constexpr std::uint32_t kSeeds = 3;
+
+TEST_CASE("load patterns: service within the target latency") {
+  const std::vector<Bound> bounds = {
+      {"noisy neighbour", 99, 98},    {"flash crowd", 85, 88},
+      {"slow endpoints", 90, 80},     {"failing endpoints", 98, 93},
+      {"shedding endpoints", 55, 55}, {"silent endpoints", 95, 95},
+      {"flapping", 98, 97},
+  };
+  for (const Bound& bound : bounds) {
+    CAPTURE(bound.mScenario);
+    const Scenario* const scenario = FindScenario(bound.mScenario);
+    REQUIRE(scenario != nullptr);
+    std::map<std::string, ModelTally> sums;
+    for (std::uint32_t seed = 1; seed <= kSeeds; ++seed) {
+      const auto played = Play(*scenario, seed);
+      for (const auto& [name, tally] : played->Tally()) {
+        sums[name].mAsked += tally.mAsked;
+        sums[name].mInTarget += tally.mInTarget;
+      }
+    }
+    CHECK(100 * sums[kStockCheck].InTargetShare() >= bound.mStockCheck);
+    CHECK(100 * sums[kOrderPlace].InTargetShare() >= bound.mOrderPlace);
+  }
+}
+
+TEST_CASE("load patterns: repeats stay within the budget of the fleet") {
+  for (const char* const name :
+       {"slow endpoints", "failing endpoints", "shedding endpoints"}) {
+    CAPTURE(name);
+    const auto played = Play(*FindScenario(name), 1);
+    std::uint64_t asked = 0;
+    for (const auto& [route, tally] : played->Tally()) {
+      asked += tally.mAsked;
+    }
+    // A caller comes back once at most, and the slack holds for each of two
+    // windows.
+    CHECK(static_cast<double>(played->Retries()) <=
+          0.2 * 2 * static_cast<double>(asked) + 2 * 75);
+  }
+}
+
+TEST_CASE("load patterns: the same seed gives the same day") {
+  const Scenario& scenario = *FindScenario("flash crowd");
+  const auto first = Play(scenario, 5);
+  const auto second = Play(scenario, 5);
+  CHECK(first->Tally().at(kStockCheck).mInTarget ==
+        second->Tally().at(kStockCheck).mInTarget);
+  CHECK(first->Probes() == second->Probes());
+}
+
+}  // namespace
+}  // namespace papayawheel::model
