View: removals between two full copies; hosts ask readers; doubts spread

Causes, each found by a test that failed first: - A host that read the store anew told a peer behind it nothing of keys that came and went between its two copies, so a removed endpoint could stay known there (property 'hosts converge', 81 schedules).

--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -31,7 +31,7 @@
 constexpr std::size_t kRelays = 4;
 
 /** Hosts to whom a doubt is told. */
-constexpr std::size_t kDoubtsTold = 3;
+constexpr std::size_t kDoubtsTold = 8;
 
 /** A host heard from so recently is not pinged because of a doubt. */
 constexpr milliseconds kHeardLately{300};
@@ -352,16 +352,27 @@
   return datagrams;
 }
 
-Datagrams GossipEngine::Awaken(TimePoint aNow) {
+Datagrams GossipEngine::Ask(const std::vector<std::string>& aNames,
+                            TimePoint aNow) {
+  Datagrams datagrams;
+  for (const std::string& name : aNames) {
+    const auto found = mMembers.find(name);
+    if (found != mMembers.end() && !found->second.mPingedAt) {
+      Ping(found->second, aNow, datagrams);
+    }
+  }
+  return datagrams;
+}
+
+Datagrams GossipEngine::Awaken(const std::vector<std::string>& aAskFirst,
+                               TimePoint aNow) {
   Datagrams datagrams;
-  std::size_t pinged = 0;
   for (auto& [name, member] : mMembers) {
     member.mPingedAt.reset();
     member.mUnanswered = 0;
-    if (member.mReachable && pinged++ < 2 * (kNearPings + kFarPings)) {
-      Ping(member, aNow, datagrams);
-    }
   }
+  datagrams = Ask(aAskFirst, aNow);
+  PingSome(aNow, datagrams);
   return datagrams;
 }
 
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -44,8 +44,12 @@
   /** Passes news on within the data centre. */
   Datagrams AnnounceNearby(TimePoint aNow);
 
-  /** The process was suspended: what it believes of others is void. */
-  Datagrams Awaken(TimePoint aNow);
+  /** Asks hosts at once what they know. */
+  Datagrams Ask(const std::vector<std::string>& aNames, TimePoint aNow);
+
+  /** The process was suspended: what it believes of others is void.
+   * @param aAskFirst hosts that know best what it has missed. */
+  Datagrams Awaken(const std::vector<std::string>& aAskFirst, TimePoint aNow);
 
   /** Hosts that can be reached, without this one. */
   [[nodiscard]] std::vector<MemberRecord> Reachable() const;
--- a/core/view/reader_ranking.cpp
+++ b/core/view/reader_ranking.cpp
@@ -17,11 +17,8 @@
 
 }  // namespace
 
-bool IsReader(const MemberRecord& aSelf,
-              const std::vector<MemberRecord>& aOthers) {
-  if (aSelf.mState == MemberState::Leaving) {
-    return false;
-  }
+std::vector<std::string> ChooseReaders(
+    const MemberRecord& aSelf, const std::vector<MemberRecord>& aOthers) {
   std::map<std::string, std::string> centreOf;
   std::vector<std::string> candidates;
   for (const MemberRecord& other : aOthers) {
@@ -47,6 +44,15 @@
       }
     }
   }
+  return chosen;
+}
+
+bool IsReader(const MemberRecord& aSelf,
+              const std::vector<MemberRecord>& aOthers) {
+  if (aSelf.mState == MemberState::Leaving) {
+    return false;
+  }
+  const std::vector<std::string> chosen = ChooseReaders(aSelf, aOthers);
   return std::find(chosen.begin(), chosen.end(), aSelf.mName) != chosen.end();
 }
 
--- a/core/view/reader_ranking.h
+++ b/core/view/reader_ranking.h
@@ -11,11 +11,15 @@
 /** Hosts that watch the platform's store for the whole fleet. */
 constexpr std::size_t kReaders = 3;
 
-/** Whether a host should watch the store, given the hosts that it can reach.
- * Hosts whose reads fail come last, and the first ones are taken from different
- * data centres. Hosts that see the same fleet choose the same readers; where
- * views differ there are some more readers for a while.
+/** The names of the hosts that should watch the store, given the hosts that
+ * one of them can reach. Hosts whose reads fail come last, and the first ones
+ * are taken from different data centres. Hosts that see the same fleet choose
+ * the same readers; where views differ there are some more readers for a while.
  * @param aOthers reachable hosts without this one. */
+std::vector<std::string> ChooseReaders(
+    const MemberRecord& aSelf, const std::vector<MemberRecord>& aOthers);
+
+/** Whether a host is one of those. */
 bool IsReader(const MemberRecord& aSelf,
               const std::vector<MemberRecord>& aOthers);
 
--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -39,8 +39,9 @@
         news.push_back(item);
       }
     }
-    // Removals before the copy was made are not in it.
-    mForgotten = std::max(mForgotten, mLoaded ? mForgotten : aDelta.mAsOf);
+    // Keys that came and went since the copy before are in neither, so a host
+    // that lags behind this one needs a full copy too.
+    mForgotten = std::max(mForgotten, aDelta.mAsOf);
   }
   mLoaded = mLoaded || aDelta.mFull;
   Advance(aDelta.mAsOf);
--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -22,7 +22,12 @@
 constexpr milliseconds kStartGrace{1200};
 
 /** A host that starts hears from its seeds before it reads the store. */
-constexpr milliseconds kFirstPause{40};
+constexpr milliseconds kFirstPause{60};
+constexpr milliseconds kFirstStartPause{900};
+
+/** A copy of this age is asked after, and how often. */
+constexpr milliseconds kAskAge{700};
+constexpr milliseconds kAskPause{250};
 
 /** Pauses after failed calls to the store. */
 constexpr milliseconds kReaderPause{300};
@@ -39,18 +44,25 @@
 
 }  // namespace
 
-ViewKeeper::ViewKeeper(TimePoint aNow, std::uint32_t aSeed)
+ViewKeeper::ViewKeeper(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart)
     : mRandom(aSeed),
       mStartedAt(aNow),
       mDistrustedAt(aNow),
       mInTouchAgainAt(aNow),
       mNextCall(aNow) {
-  mNextCall += kFirstPause + Jitter(kFirstPause);
+  const Duration pause = aIsFirstStart ? kFirstStartPause : kFirstPause;
+  mNextCall += pause + Jitter(pause);
 }
 
 ViewActions ViewKeeper::Tick(bool aIsReader, TimePoint aNow) {
   ViewActions actions;
   mIsReader = aIsReader;
+  const auto vouchedAt = VouchedAt(aNow);
+  const bool isOld = !vouchedAt || aNow - *vouchedAt > kAskAge;
+  if (!aIsReader && isOld && aNow >= mNextAsk) {
+    mNextAsk = aNow + kAskPause;
+    actions.emplace_back(AskReaders{});
+  }
   if (mCalling || aNow < mNextCall || (!aIsReader && !WantsOwnRead(aNow))) {
     return actions;
   }
@@ -66,6 +78,10 @@
 }
 
 TimePoint ViewKeeper::NextDue(TimePoint aNow) const {
+  if (!mIsReader && mVouchedAt) {
+    return std::max({std::min(*mVouchedAt + kAskAge, *mVouchedAt + kMostAge),
+                     mNextAsk, aNow});
+  }
   if (mCalling) {
     return aNow + kWatchTime;
   }
@@ -101,6 +117,10 @@
     }
     return actions;
   }
+  if (aSummary.mAge && aNow - *aSummary.mAge >= mPromisedAt) {
+    mPromisedNewest = aSummary.mNewest;
+    mPromisedAt = aNow - *aSummary.mAge;
+  }
   if (!mPulling) {
     mPulling = true;
     actions.emplace_back(
@@ -121,6 +141,10 @@
   if (aAge) {
     Vouch(aNow - *aAge, aNow);
   }
+  if (mPromisedNewest > 0 && mView.Newest() >= mPromisedNewest) {
+    Vouch(mPromisedAt, aNow);
+    mPromisedNewest = 0;
+  }
   return news;
 }
 
--- a/core/view/view_keeper.h
+++ b/core/view/view_keeper.h
@@ -29,7 +29,10 @@
   std::uint64_t mAfter = 0;
 };
 
-using ViewAction = std::variant<ReadStore, WatchStore, PullView>;
+/** Ask the hosts that watch the store whether the copy is still all. */
+struct AskReaders {};
+
+using ViewAction = std::variant<ReadStore, WatchStore, PullView, AskReaders>;
 using ViewActions = std::vector<ViewAction>;
 
 /** Why a call to the store brought nothing. */
@@ -47,7 +50,9 @@
  * do; it performs no input or output. */
 class ViewKeeper {
  public:
-  ViewKeeper(TimePoint aNow, std::uint32_t aSeed);
+  /** @param aIsFirstStart the whole fleet starts for the first time, so there
+   * is time to find each other before anybody reads. */
+  ViewKeeper(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart);
 
   /** Does what is due.
    * @param aIsReader whether this host is one of those that watch the store. */
@@ -101,6 +106,10 @@
   std::uint32_t mFailures = 0;
   TimePoint mNextCall;
   bool mPulling = false;
+  /** What a host that knows more vouched for, until that is known here. */
+  std::uint64_t mPromisedNewest = 0;
+  TimePoint mPromisedAt;
+  TimePoint mNextAsk;
 };
 
 }  // namespace papayawheel
--- a/drivers/program_settings.cpp
+++ b/drivers/program_settings.cpp
@@ -276,6 +276,13 @@
   return "must be \"debug\", \"info\", \"warning\" or \"error\"";
 }
 
+std::optional<std::string> CheckTruth(const std::string& aValue) {
+  if (aValue == "true" || aValue == "false") {
+    return std::nullopt;
+  }
+  return "must be \"true\" or \"false\"";
+}
+
 std::vector<std::string> SplitList(const std::string& aText) {
   std::vector<std::string> parts;
   std::size_t start = 0;
--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -44,6 +44,9 @@
   aSettings.Add("seeds", "",
                 "addresses of some other hosts, separated by commas",
                 CheckAddressList);
+  aSettings.Add("first-start", "false",
+                "whether the whole fleet starts for the first time",
+                CheckTruth);
   aSettings.AddNumber("grace-ms", 6000, 1000, kMaxMillis,
                       "time from the signal to stop to the end");
   aSettings.AddNumber("directory-keep-ms", 5000, 100, kMaxMillis,
@@ -72,6 +75,7 @@
       static_cast<std::uint16_t>(aSettings.Number("gossip-port"));
   gateway.mSeeds = aSettings.List("seeds");
   gateway.mStoreAddress = aSettings.Text("store");
+  gateway.mIsFirstStart = aSettings.Text("first-start") == "true";
   gateway.mGrace = milliseconds(aSettings.Number("grace-ms"));
   gateway.mMostKeep = milliseconds(aSettings.Number("directory-keep-ms"));
   gateway.mRetryBudget.mRatio = aSettings.Decimal("retry-ratio");
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -80,7 +80,7 @@
       mClock(aClock),
       mHooks(std::move(aHooks)),
       mGossip(DescribeSelf(aSettings, aClock), SeedOf(aSettings)),
-      mKeeper(aClock.Now(), SeedOf(aSettings)),
+      mKeeper(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart),
       mLastTurn(aClock.Now()) {}
 
 bool GatewayControl::Start() {
@@ -190,7 +190,7 @@
   }
   mKeeper.Distrust(now);
   PublishTrust();
-  Send(mGossip.Awaken(now));
+  Send(mGossip.Awaken(ChooseReaders(mGossip.Self(), mGossip.Reachable()), now));
 }
 
 void GatewayControl::Send(const Datagrams& aDatagrams) {
@@ -253,6 +253,9 @@
       Watch(*watch);
     } else if (const auto* const pull = std::get_if<PullView>(&action)) {
       Pull(*pull);
+    } else {
+      Send(mGossip.Ask(ChooseReaders(mGossip.Self(), mGossip.Reachable()),
+                       mClock.Now()));
     }
   }
 }
--- a/servers/gateway_settings.h
+++ b/servers/gateway_settings.h
@@ -25,6 +25,8 @@
   /** Addresses of other hosts; only the IP number counts. */
   std::vector<std::string> mSeeds;
   std::string mStoreAddress;
+  /** The whole fleet starts for the first time. */
+  bool mIsFirstStart = false;
   /** From the signal to stop to the end of the process at the latest. */
   std::chrono::milliseconds mGrace{6000};
   RetryBudgetTerms mRetryBudget;
--- /dev/null
+++ b/tests/core/gossip_fleet.cpp
@@ -0,0 +1,355 @@
+#include "tests/core/gossip_fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/base/parse_number.h"
+#include "core/view/reader_ranking.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kHostDelay{2};
+constexpr milliseconds kStoreDelay{4};
+/** When a caller of the store gives up. */
+constexpr milliseconds kStoreTimeout{1000};
+constexpr milliseconds kPullTimeout{600};
+constexpr milliseconds kLongestTurn{400};
+constexpr std::size_t kSeeds = 3;
+
+}  // namespace
+
+GossipFleet::GossipFleet(std::size_t aHosts, std::size_t aDataCentres,
+                         std::uint32_t aSeed)
+    : mRandom(aSeed), mDataCentres(aDataCentres), mHosts(aHosts) {
+  Publish();
+  for (std::size_t host = 0; host < aHosts; ++host) {
+    const auto late = std::uniform_int_distribution<int>(0, 300)(mRandom);
+    mEvents.After(milliseconds(late), [this, host] { Start(host); });
+  }
+}
+
+std::string GossipFleet::NameOf(std::size_t aHost) {
+  return fmt::format("h{}", aHost);
+}
+
+std::string GossipFleet::AddressOf(std::size_t aHost) {
+  return fmt::format("h{}:1", aHost);
+}
+
+std::size_t GossipFleet::IndexOf(const std::string& aAddress) {
+  return *ParseNumber<std::size_t>(aAddress.substr(1, aAddress.find(':') - 1));
+}
+
+void GossipFleet::Start(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  MemberRecord self;
+  self.mName = NameOf(aHost);
+  self.mDataCentre = fmt::format("dc{}", aHost % mDataCentres);
+  self.mGossipAddress = AddressOf(aHost);
+  self.mControlAddress = AddressOf(aHost);
+  self.mFrontAddress = AddressOf(aHost);
+  self.mIncarnation =
+      static_cast<std::uint64_t>(mEvents.Now().time_since_epoch().count());
+  self.mState = MemberState::Ready;
+  host.mGossip = std::make_unique<GossipEngine>(
+      self, static_cast<std::uint32_t>(mRandom()));
+  std::vector<std::string> seeds;
+  for (std::size_t seed = 0; seed < std::min(kSeeds, mHosts.size()); ++seed) {
+    seeds.push_back(AddressOf(seed));
+  }
+  host.mGossip->SetSeeds(seeds);
+  host.mKeeper = std::make_unique<ViewKeeper>(
+      mEvents.Now(), static_cast<std::uint32_t>(mRandom()), host.mLife == 0);
+  host.mAlive = true;
+  host.mFrozen = false;
+  host.mCallsStore = false;
+  ++host.mLife;
+  Turn(aHost);
+}
+
+void GossipFleet::Run(Duration aTime) {
+  mEvents.RunUntil(mEvents.Now() + aTime);
+}
+
+std::uint64_t GossipFleet::Publish() {
+  ++mRevision;
+  mLog.push_back(StoreChange{"key", mRevision, std::to_string(mRevision)});
+  const std::vector<Waiting> waiting = std::exchange(mWaiting, {});
+  for (const Waiting& one : waiting) {
+    if (mStoreDown || mHosts[one.mHost].mCutFromStore) {
+      // The answer is lost on the way.
+      continue;
+    }
+    mEvents.After(kStoreDelay, [this, one] { AnswerWatch(one); });
+  }
+  return mRevision;
+}
+
+StoreDelta GossipFleet::StoreSince(std::uint64_t aRevision) const {
+  StoreDelta delta{aRevision == 0, mRevision, {}};
+  if (mLog.back().mRevision > aRevision) {
+    delta.mChanges.push_back(mLog.back());
+  }
+  return delta;
+}
+
+void GossipFleet::Kill(std::size_t aHost) {
+  mHosts[aHost].mAlive = false;
+  ++mHosts[aHost].mLife;
+}
+
+void GossipFleet::Restart(std::size_t aHost) { Start(aHost); }
+
+void GossipFleet::Freeze(std::size_t aHost, bool aFrozen) {
+  Host& host = mHosts[aHost];
+  host.mFrozen = aFrozen;
+  ++host.mLife;
+  if (!aFrozen) {
+    host.mCallsStore = false;
+    host.mKeeper->Distrust(mEvents.Now());
+    Send(aHost, host.mGossip->Awaken(ChooseReaders(host.mGossip->Self(),
+                                                   host.mGossip->Reachable()),
+                                     mEvents.Now()));
+    Turn(aHost);
+  }
+}
+
+void GossipFleet::CutFromHosts(std::size_t aHost, bool aCut) {
+  mHosts[aHost].mCutFromHosts = aCut;
+}
+
+void GossipFleet::CutFromStore(std::size_t aHost, bool aCut) {
+  mHosts[aHost].mCutFromStore = aCut;
+}
+
+void GossipFleet::SetStoreDown(bool aDown) { mStoreDown = aDown; }
+
+bool GossipFleet::IsUp(std::size_t aHost, std::uint64_t aLife) const {
+  const Host& host = mHosts[aHost];
+  return host.mAlive && !host.mFrozen && host.mLife == aLife;
+}
+
+void GossipFleet::Turn(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  const TimePoint now = mEvents.Now();
+  host.mGossip->SetStoreFailing(host.mKeeper->IsStoreFailing());
+  host.mGossip->SetView(host.mKeeper->Summary(now));
+  Send(aHost, host.mGossip->Tick(now));
+  const bool isReader =
+      IsReader(host.mGossip->Self(), host.mGossip->Reachable());
+  Act(aHost, host.mKeeper->Tick(isReader, now));
+  Schedule(aHost);
+}
+
+void GossipFleet::Schedule(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  const TimePoint now = mEvents.Now();
+  const TimePoint due =
+      std::clamp(std::min(host.mGossip->NextDue(), host.mKeeper->NextDue(now)),
+                 now + milliseconds(1), now + kLongestTurn);
+  host.mTurnAt = due;
+  mEvents.At(due, [this, aHost, due, life = host.mLife] {
+    if (IsUp(aHost, life) && mHosts[aHost].mTurnAt == due) {
+      Turn(aHost);
+    }
+  });
+}
+
+void GossipFleet::Send(std::size_t aFrom,
+                       const papayawheel::Datagrams& aDatagrams) {
+  for (const Datagram& datagram : aDatagrams) {
+    ++mDatagrams;
+    const std::size_t to = IndexOf(datagram.mAddress);
+    mEvents.After(kHostDelay, [this, aFrom, to, text = datagram.mMessage] {
+      Deliver(aFrom, to, text);
+    });
+  }
+}
+
+void GossipFleet::Deliver(std::size_t aFrom, std::size_t aTo,
+                          const GossipMessage& aText) {
+  Host& host = mHosts[aTo];
+  const bool arrives = host.mAlive && !host.mFrozen && !host.mCutFromHosts &&
+                       !mHosts[aFrom].mCutFromHosts;
+  if (!arrives) {
+    return;
+  }
+  const TimePoint now = mEvents.Now();
+  host.mGossip->SetView(host.mKeeper->Summary(now));
+  Send(aTo, host.mGossip->Arrived(aText, now));
+  if (const auto sender = host.mGossip->Find(aText.mSender.mName)) {
+    Act(aTo, host.mKeeper->PeerTold(sender->mControlAddress, aText.mView, now));
+  }
+}
+
+void GossipFleet::Act(std::size_t aHost, const ViewActions& aActions) {
+  for (const ViewAction& action : aActions) {
+    if (const auto* const pull = std::get_if<PullView>(&action)) {
+      Pull(aHost, *pull);
+    } else if (std::holds_alternative<AskReaders>(action)) {
+      GossipEngine& gossip = *mHosts[aHost].mGossip;
+      Send(aHost, gossip.Ask(ChooseReaders(gossip.Self(), gossip.Reachable()),
+                             mEvents.Now()));
+    } else {
+      CallStore(aHost, action);
+    }
+  }
+}
+
+void GossipFleet::CallStore(std::size_t aHost, const ViewAction& aAction) {
+  ++mStoreCalls;
+  Host& host = mHosts[aHost];
+  host.mCallsStore = true;
+  const std::uint64_t life = host.mLife;
+  const auto* const watch = std::get_if<WatchStore>(&aAction);
+  const bool reaches = !mStoreDown && !host.mCutFromStore;
+  if (!reaches) {
+    mEvents.After(kStoreTimeout, [this, aHost, life] {
+      if (IsUp(aHost, life)) {
+        mHosts[aHost].mCallsStore = false;
+        mHosts[aHost].mKeeper->StoreFailed(StoreFailure::NoAnswer,
+                                           mEvents.Now());
+        Turn(aHost);
+      }
+    });
+    return;
+  }
+  if (watch != nullptr && mLog.back().mRevision <= watch->mAfter) {
+    const Waiting waiting{aHost, life, watch->mAfter, ++mLastWatch};
+    mWaiting.push_back(waiting);
+    mEvents.After(watch->mWait, [this, waiting] { EndWatch(waiting); });
+    return;
+  }
+  const Waiting read{aHost, life, watch == nullptr ? 0 : watch->mAfter,
+                     ++mLastWatch};
+  mEvents.After(kStoreDelay, [this, read] { AnswerWatch(read); });
+}
+
+void GossipFleet::EndWatch(const Waiting& aWaiting) {
+  const auto found = std::find_if(mWaiting.begin(), mWaiting.end(),
+                                  [&aWaiting](const Waiting& aOne) {
+                                    return aOne.mNumber == aWaiting.mNumber;
+                                  });
+  if (found == mWaiting.end()) {
+    // It was answered, or its answer was lost.
+    if (IsUp(aWaiting.mHost, aWaiting.mLife) &&
+        mHosts[aWaiting.mHost].mCallsStore) {
+      mHosts[aWaiting.mHost].mCallsStore = false;
+      mHosts[aWaiting.mHost].mKeeper->StoreFailed(StoreFailure::NoAnswer,
+                                                  mEvents.Now());
+      Turn(aWaiting.mHost);
+    }
+    return;
+  }
+  mWaiting.erase(found);
+  AnswerWatch(aWaiting);
+}
+
+void GossipFleet::AnswerWatch(const Waiting& aWaiting) {
+  Host& host = mHosts[aWaiting.mHost];
+  if (!IsUp(aWaiting.mHost, aWaiting.mLife) || mStoreDown ||
+      host.mCutFromStore) {
+    return;
+  }
+  host.mCallsStore = false;
+  const auto news =
+      host.mKeeper->StoreAnswered(StoreSince(aWaiting.mAfter), mEvents.Now());
+  Took(aWaiting.mHost, !news.empty(), true);
+}
+
+void GossipFleet::Took(std::size_t aHost, bool aNews, bool aFromStore) {
+  Host& host = mHosts[aHost];
+  const TimePoint now = mEvents.Now();
+  host.mGossip->SetView(host.mKeeper->Summary(now));
+  if (aNews && aFromStore) {
+    Send(aHost, host.mGossip->Announce({}, now));
+  } else if (aNews && host.mGossip->RelaysNews()) {
+    Send(aHost, host.mGossip->AnnounceNearby(now));
+  }
+  Turn(aHost);
+}
+
+void GossipFleet::Pull(std::size_t aHost, const PullView& aPull) {
+  const std::size_t peer = IndexOf(aPull.mAddress);
+  const std::uint64_t life = mHosts[aHost].mLife;
+  const bool reaches = mHosts[peer].mAlive && !mHosts[peer].mFrozen &&
+                       !mHosts[peer].mCutFromHosts &&
+                       !mHosts[aHost].mCutFromHosts;
+  if (!reaches) {
+    mEvents.After(kPullTimeout, [this, aHost, life] {
+      if (IsUp(aHost, life)) {
+        mHosts[aHost].mKeeper->Pulled(std::nullopt, std::nullopt,
+                                      mEvents.Now());
+      }
+    });
+    return;
+  }
+  mEvents.After(2 * kHostDelay, [this, aHost, peer, life, aPull] {
+    if (!IsUp(aHost, life) || mHosts[peer].mKeeper == nullptr) {
+      return;
+    }
+    const ViewKeeper& source = *mHosts[peer].mKeeper;
+    const auto news = mHosts[aHost].mKeeper->Pulled(
+        source.View().Since(aPull.mAfter), source.Summary(mEvents.Now()).mAge,
+        mEvents.Now());
+    Took(aHost, !news.empty(), false);
+  });
+}
+
+bool GossipFleet::Knows(std::size_t aHost, std::uint64_t aRevision) const {
+  return mHosts[aHost].mAlive &&
+         mHosts[aHost].mKeeper->View().Newest() >= aRevision;
+}
+
+bool GossipFleet::IsTrusted(std::size_t aHost) const {
+  return mHosts[aHost].mAlive &&
+         mHosts[aHost].mKeeper->IsTrusted(mEvents.Now());
+}
+
+std::size_t GossipFleet::ReachableFrom(std::size_t aHost) const {
+  return mHosts[aHost].mGossip->Reachable().size();
+}
+
+bool GossipFleet::Reaches(std::size_t aFrom, std::size_t aTo) const {
+  const auto reachable = mHosts[aFrom].mGossip->Reachable();
+  return std::any_of(reachable.begin(), reachable.end(),
+                     [aTo](const MemberRecord& aRecord) {
+                       return aRecord.mName == NameOf(aTo);
+                     });
+}
+
+std::vector<std::size_t> GossipFleet::Readers() const {
+  std::vector<std::size_t> readers;
+  for (std::size_t host = 0; host < mHosts.size(); ++host) {
+    if (mHosts[host].mAlive && mHosts[host].mCallsStore) {
+      readers.push_back(host);
+    }
+  }
+  return readers;
+}
+
+std::optional<Duration> GossipFleet::TimeUntilKnown(
+    std::uint64_t aRevision, Duration aLimit,
+    const std::vector<std::size_t>& aBut) {
+  const TimePoint start = mEvents.Now();
+  while (mEvents.Now() - start <= aLimit) {
+    bool all = true;
+    for (std::size_t host = 0; host < mHosts.size(); ++host) {
+      const bool counts =
+          std::find(aBut.begin(), aBut.end(), host) == aBut.end();
+      all = all && (!counts || Knows(host, aRevision));
+    }
+    if (all) {
+      return std::chrono::duration_cast<Duration>(mEvents.Now() - start);
+    }
+    Run(milliseconds(10));
+  }
+  return std::nullopt;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/gossip_fleet.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/gossip/gossip_engine.h"
+#include "core/view/view_keeper.h"
+#include "model/event_queue.h"
+
+namespace papayawheel {
+
+/** The store and the control parts of many hosts on virtual time, with faults
+ * between them. */
+class GossipFleet {
+ public:
+  GossipFleet(std::size_t aHosts, std::size_t aDataCentres,
+              std::uint32_t aSeed);
+
+  void Run(Duration aTime);
+  /** Changes the store; the revision of the change. */
+  std::uint64_t Publish();
+  void Kill(std::size_t aHost);
+  void Restart(std::size_t aHost);
+  void Freeze(std::size_t aHost, bool aFrozen);
+  /** Cuts a host off from all others, but not from the store. */
+  void CutFromHosts(std::size_t aHost, bool aCut);
+  void CutFromStore(std::size_t aHost, bool aCut);
+  /** Every host is cut off from the store, and the watches that wait hang. */
+  void SetStoreDown(bool aDown);
+
+  [[nodiscard]] std::size_t Size() const { return mHosts.size(); }
+  [[nodiscard]] bool Knows(std::size_t aHost, std::uint64_t aRevision) const;
+  [[nodiscard]] bool IsTrusted(std::size_t aHost) const;
+  [[nodiscard]] std::size_t ReachableFrom(std::size_t aHost) const;
+  [[nodiscard]] bool Reaches(std::size_t aFrom, std::size_t aTo) const;
+  /** Hosts that read the store or wait for it now. */
+  [[nodiscard]] std::vector<std::size_t> Readers() const;
+  [[nodiscard]] std::uint64_t StoreCalls() const { return mStoreCalls; }
+  [[nodiscard]] std::uint64_t Datagrams() const { return mDatagrams; }
+  /** Time until all hosts but some know a revision; nothing if they do not
+   * within a limit. */
+  std::optional<Duration> TimeUntilKnown(std::uint64_t aRevision,
+                                         Duration aLimit,
+                                         const std::vector<std::size_t>& aBut);
+
+ private:
+  struct Host {
+    std::unique_ptr<GossipEngine> mGossip;
+    std::unique_ptr<ViewKeeper> mKeeper;
+    bool mAlive = false;
+    bool mFrozen = false;
+    bool mCutFromHosts = false;
+    bool mCutFromStore = false;
+    /** Grows with each start and each wake, so that old events find nothing. */
+    std::uint64_t mLife = 0;
+    bool mCallsStore = false;
+    TimePoint mTurnAt;
+  };
+  struct Waiting {
+    std::size_t mHost = 0;
+    std::uint64_t mLife = 0;
+    std::uint64_t mAfter = 0;
+    std::uint64_t mNumber = 0;
+  };
+
+  static std::string NameOf(std::size_t aHost);
+  static std::string AddressOf(std::size_t aHost);
+  static std::size_t IndexOf(const std::string& aAddress);
+  void Start(std::size_t aHost);
+  void Turn(std::size_t aHost);
+  void Schedule(std::size_t aHost);
+  void Send(std::size_t aFrom, const papayawheel::Datagrams& aDatagrams);
+  void Deliver(std::size_t aFrom, std::size_t aTo, const GossipMessage& aText);
+  void Act(std::size_t aHost, const ViewActions& aActions);
+  void CallStore(std::size_t aHost, const ViewAction& aAction);
+  void Pull(std::size_t aHost, const PullView& aPull);
+  void AnswerWatch(const Waiting& aWaiting);
+  void EndWatch(const Waiting& aWaiting);
+  void Took(std::size_t aHost, bool aNews, bool aFromStore);
+  [[nodiscard]] bool IsUp(std::size_t aHost, std::uint64_t aLife) const;
+  [[nodiscard]] StoreDelta StoreSince(std::uint64_t aRevision) const;
+
+  model::EventQueue mEvents;
+  std::mt19937 mRandom;
+  std::size_t mDataCentres;
+  std::vector<Host> mHosts;
+  std::vector<StoreChange> mLog;
+  std::vector<Waiting> mWaiting;
+  std::uint64_t mRevision = 1;
+  std::uint64_t mLastWatch = 0;
+  bool mStoreDown = false;
+  std::uint64_t mStoreCalls = 0;
+  std::uint64_t mDatagrams = 0;
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/test_endpoint_pool.cpp
@@ -0,0 +1,193 @@
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/endpoints/endpoint_pool.h"
+#include "core/endpoints/endpoint_registry.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kWork{80};
+const TimePoint kStart{std::chrono::hours(1)};
+
+EndpointEntry MakeEntry(const std::string& aId, const std::string& aCentre) {
+  EndpointEntry entry;
+  entry.mId = aId;
+  entry.mService = "service";
+  entry.mAddress = "10.0.0.1:80";
+  entry.mDataCentre = aCentre;
+  entry.mSlots = 4;
+  return entry;
+}
+
+EndpointMap MakeEntries() {
+  EndpointMap entries;
+  for (const char* const id : {"a", "b", "c"}) {
+    entries.emplace(id, MakeEntry(id, "dc1"));
+  }
+  entries.emplace("far", MakeEntry("far", "dc2"));
+  return entries;
+}
+
+/** A pool that has just heard from all endpoints that they are idle. */
+EndpointPool MakePool(const EndpointMap& aEntries) {
+  EndpointPool pool("dc1", 1);
+  pool.Configure(aEntries, "service", kStart);
+  for (const auto& [id, entry] : aEntries) {
+    pool.NoteSample(id, LoadSample{0, 0, 4, 1}, kStart);
+  }
+  return pool;
+}
+
+/** How often each endpoint is chosen in a hundred picks. */
+std::map<std::string, int> Picks(EndpointPool& aPool, TimePoint aNow) {
+  std::map<std::string, int> picks;
+  for (int number = 0; number < 100; ++number) {
+    ++picks[aPool.Pick({}, kWork, aNow)->mId];
+  }
+  return picks;
+}
+
+TEST_CASE("endpoint pool: what keeps work away from an endpoint") {
+  struct Case {
+    const char* mWhat;
+    std::function<void(EndpointPool&, EndpointMap&)> mChange;
+  };
+  const std::vector<Case> cases = {
+      {"a neighbour slows its machine down",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.NoteSample("a", LoadSample{0, 0, 4, 5}, kStart);
+       }},
+      {"others have filled it above the knee",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.NoteSample("a", LoadSample{3, 0, 4, 1}, kStart);
+       }},
+      {"this host has filled it above the knee",
+       [](EndpointPool& aPool, EndpointMap&) {
+         for (int sent = 0; sent < 3; ++sent) {
+           aPool.Sent("a", kStart);
+         }
+       }},
+      {"it is draining",
+       [](EndpointPool& aPool, EndpointMap& aEntries) {
+         aEntries.at("a").mDraining = true;
+         aPool.Configure(aEntries, "service", kStart);
+       }},
+      {"it has just started",
+       [](EndpointPool& aPool, EndpointMap& aEntries) {
+         aEntries.at("a").mWarmUpLeft = seconds(3);
+         aPool.Configure(aEntries, "service", kStart);
+       }},
+      {"it cannot be reached",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.Sent("a", kStart);
+         aPool.Finished("a", AttemptResult::NotConnected, false, std::nullopt,
+                        kWork, kStart, kStart);
+       }},
+      {"it does not tell its load when asked",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.NoteUnanswered("a", kStart);
+       }},
+      {"it fails what it runs",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.Sent("a", kStart);
+         aPool.Finished("a", AttemptResult::Answered, true,
+                        LoadSample{0, 0, 4, 1}, kWork, kStart, kStart);
+       }},
+      {"it takes far longer than its reports explain",
+       [](EndpointPool& aPool, EndpointMap&) {
+         aPool.Sent("a", kStart - seconds(1));
+         aPool.Finished("a", AttemptResult::Answered, false,
+                        LoadSample{0, 0, 4, 1}, kWork, kStart - seconds(1),
+                        kStart);
+       }},
+      {"it is gone",
+       [](EndpointPool& aPool, EndpointMap& aEntries) {
+         aEntries.erase("a");
+         aPool.Configure(aEntries, "service", kStart);
+       }},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    EndpointMap entries = MakeEntries();
+    EndpointPool pool = MakePool(entries);
+    const auto before = Picks(pool, kStart);
+    CHECK(before.at("a") > 10);
+    one.mChange(pool, entries);
+    const auto after = Picks(pool, kStart);
+    CHECK(after.find("a") == after.end());
+  }
+}
+
+TEST_CASE("endpoint pool: another data centre is used only if it is sooner") {
+  EndpointMap entries = MakeEntries();
+  EndpointPool pool = MakePool(entries);
+  CHECK(Picks(pool, kStart).count("far") == 0);
+  for (const char* const id : {"a", "b", "c"}) {
+    pool.NoteSample(id, LoadSample{0, 0, 4, 5}, kStart);
+  }
+  CHECK(Picks(pool, kStart).at("far") == 100);
+}
+
+TEST_CASE("endpoint pool: a new start under an old id begins without a past") {
+  EndpointMap entries = MakeEntries();
+  EndpointPool pool = MakePool(entries);
+  pool.NoteUnanswered("a", kStart);
+  CHECK(pool.Usable(kStart) == 3);
+  entries.at("a").mIncarnation = 7;
+  pool.Configure(entries, "service", kStart);
+  CHECK(pool.Usable(kStart) == 4);
+}
+
+TEST_CASE("endpoint pool: only old reports are asked for anew") {
+  EndpointMap entries = MakeEntries();
+  EndpointPool pool = MakePool(entries);
+  CHECK(pool.StaleCandidates({}, kWork, 3, kStart).empty());
+  const TimePoint later = kStart + milliseconds(50);
+  CHECK(pool.StaleCandidates({}, kWork, 3, later).size() == 3);
+  CHECK(pool.StaleCandidates({"a", "b"}, kWork, 3, later).size() == 2);
+}
+
+TEST_CASE("endpoint registry: entries that lapse while the store is away") {
+  struct Case {
+    bool mMayHaveLapsed;
+    bool mDraining;
+    milliseconds mAfter;
+    bool mComesBack;
+    bool mIsThere;
+  };
+  const std::vector<Case> cases = {
+      {false, false, milliseconds(0), false, false},
+      {true, false, milliseconds(0), false, true},
+      {true, false, milliseconds(1700), false, true},
+      {true, false, milliseconds(1900), false, false},
+      {true, false, milliseconds(1900), true, true},
+      {true, true, milliseconds(0), false, false},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mMayHaveLapsed);
+    CAPTURE(one.mAfter.count());
+    EndpointRegistry registry;
+    EndpointEntry entry = MakeEntry("a", "dc1");
+    entry.mDraining = one.mDraining;
+    registry.Put(entry);
+    registry.Remove("a", one.mMayHaveLapsed, kStart);
+    if (one.mComesBack) {
+      registry.Put(entry);
+    }
+    registry.Tick(kStart + one.mAfter);
+    CHECK(registry.Endpoints()->contains("a") == one.mIsThere);
+  }
+}
+
+}  // namespace
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/test_gossip_engine.cpp
@@ -0,0 +1,166 @@
+#include <doctest/doctest.h>
+
+#include "tests/core/gossip_fleet.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Changes must be in force everywhere within this time. */
+constexpr seconds kChangeBound{2};
+
+/** What 0.005 of a day's worth pays for. */
+constexpr std::uint64_t kCallsADay = 77;
+
+struct FleetSize {
+  std::size_t mHosts;
+  std::size_t mDataCentres;
+};
+
+const std::vector<FleetSize> kSizes = {{1, 1}, {2, 1}, {18, 4}, {219, 4}};
+
+TEST_CASE("gossip: all hosts find each other from three seeds") {
+  for (const FleetSize& size : kSizes) {
+    CAPTURE(size.mHosts);
+    GossipFleet fleet(size.mHosts, size.mDataCentres, 1);
+    fleet.Run(seconds(8));
+    for (std::size_t host = 0; host < size.mHosts; ++host) {
+      CHECK(fleet.ReachableFrom(host) == size.mHosts - 1);
+      CHECK(fleet.IsTrusted(host));
+    }
+  }
+}
+
+TEST_CASE("gossip: a killed host is noticed, its successor is found") {
+  for (const FleetSize& size : {FleetSize{18, 4}, FleetSize{219, 4}}) {
+    CAPTURE(size.mHosts);
+    GossipFleet fleet(size.mHosts, size.mDataCentres, 2);
+    fleet.Run(seconds(8));
+    fleet.Kill(5);
+    fleet.Run(seconds(3));
+    std::size_t believing = 0;
+    for (std::size_t host = 0; host < size.mHosts; ++host) {
+      believing += host != 5 && fleet.Reaches(host, 5) ? 1 : 0;
+    }
+    CHECK(believing == 0);
+    fleet.Restart(5);
+    fleet.Run(seconds(4));
+    CHECK(fleet.ReachableFrom(5) == size.mHosts - 1);
+    CHECK(fleet.Reaches(9, 5));
+  }
+}
+
+TEST_CASE("gossip: what a host sends does not grow with the fleet") {
+  std::vector<double> perHost;
+  for (const FleetSize& size : {FleetSize{18, 4}, FleetSize{219, 4}}) {
+    GossipFleet fleet(size.mHosts, size.mDataCentres, 3);
+    fleet.Run(seconds(12));
+    const std::uint64_t before = fleet.Datagrams();
+    fleet.Run(seconds(10));
+    perHost.push_back(static_cast<double>(fleet.Datagrams() - before) /
+                      static_cast<double>(size.mHosts) / 10);
+  }
+  CHECK(perHost[0] < 16);
+  CHECK(perHost[1] < 16);
+}
+
+TEST_CASE("view: a change is known everywhere within its bound") {
+  struct Case {
+    std::string mWhat;
+    /** What befalls the hosts that read the store. */
+    std::function<void(GossipFleet&, std::size_t)> mHarm;
+    bool mHarmedCount;
+    /** How long before the change; hosts are in touch again after 3 s. */
+    milliseconds mBefore;
+  };
+  const std::vector<Case> cases = {
+      {"calm", [](GossipFleet&, std::size_t) {}, true, milliseconds(0)},
+      {"its readers were killed",
+       [](GossipFleet& aFleet, std::size_t aHost) { aFleet.Kill(aHost); },
+       false, milliseconds(0)},
+      {"its readers are frozen",
+       [](GossipFleet& aFleet, std::size_t aHost) {
+         aFleet.Freeze(aHost, true);
+       },
+       false, milliseconds(0)},
+      {"its readers have lost the store",
+       [](GossipFleet& aFleet, std::size_t aHost) {
+         aFleet.CutFromStore(aHost, true);
+       },
+       false, milliseconds(3000)},
+      {"its readers have lost the other hosts",
+       [](GossipFleet& aFleet, std::size_t aHost) {
+         aFleet.CutFromHosts(aHost, true);
+       },
+       true, milliseconds(0)},
+  };
+  for (const FleetSize& size : kSizes) {
+    for (const Case& one : cases) {
+      if (size.mHosts < 18 && one.mBefore + milliseconds(1) > milliseconds(1) &&
+          size.mHosts < 4) {
+        // Nobody is left who reaches the store.
+        continue;
+      }
+      CAPTURE(size.mHosts);
+      CAPTURE(one.mWhat);
+      GossipFleet fleet(size.mHosts, size.mDataCentres, 4);
+      fleet.Run(seconds(10));
+      const std::vector<std::size_t> readers = fleet.Readers();
+      const bool leavesNone = readers.size() == size.mHosts;
+      if (leavesNone && !one.mHarmedCount) {
+        continue;
+      }
+      for (const std::size_t reader : readers) {
+        one.mHarm(fleet, reader);
+      }
+      fleet.Run(one.mBefore);
+      const std::uint64_t revision = fleet.Publish();
+      const auto took = fleet.TimeUntilKnown(
+          revision, kChangeBound,
+          one.mHarmedCount ? std::vector<std::size_t>{} : readers);
+      CHECK(took.has_value());
+    }
+  }
+}
+
+TEST_CASE("view: a host that was frozen acts on nothing old") {
+  GossipFleet fleet(18, 4, 5);
+  fleet.Run(seconds(10));
+  fleet.Freeze(7, true);
+  const std::uint64_t revision = fleet.Publish();
+  fleet.Run(seconds(4));
+  fleet.Freeze(7, false);
+  CHECK_FALSE(fleet.IsTrusted(7));
+  const auto took = fleet.TimeUntilKnown(revision, milliseconds(200), {});
+  CHECK(took.has_value());
+  fleet.Run(milliseconds(50));
+  CHECK(fleet.IsTrusted(7));
+}
+
+TEST_CASE("view: few calls to the store, whatever the size of the fleet") {
+  for (const FleetSize& size : {FleetSize{18, 4}, FleetSize{219, 4}}) {
+    CAPTURE(size.mHosts);
+    GossipFleet fleet(size.mHosts, size.mDataCentres, 6);
+    // A start of everything at once and a quiet half minute.
+    fleet.Run(seconds(38));
+    CHECK(fleet.StoreCalls() <= kCallsADay);
+  }
+}
+
+TEST_CASE("view: a store that was away is read by a few, and soon") {
+  GossipFleet fleet(18, 4, 7);
+  fleet.Run(seconds(10));
+  fleet.SetStoreDown(true);
+  fleet.Run(seconds(6));
+  const std::uint64_t before = fleet.StoreCalls();
+  fleet.Run(seconds(10));
+  CHECK(fleet.StoreCalls() - before <= 150);
+  fleet.SetStoreDown(false);
+  const std::uint64_t revision = fleet.Publish();
+  CHECK(fleet.TimeUntilKnown(revision, seconds(3), {}).has_value());
+}
+
+}  // namespace
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/core/test_store_view.cpp
@@ -0,0 +1,143 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/view/store_view.h"
+
+namespace papayawheel {
+namespace {
+
+/** The store itself: every write and removal has a revision of its own. */
+class FakeStore {
+ public:
+  void Write(const std::string& aKey) {
+    ++mRevision;
+    mItems[aKey] = StoreChange{aKey, mRevision, std::to_string(mRevision)};
+    mLog.push_back(mItems[aKey]);
+  }
+  void Remove(const std::string& aKey) {
+    if (mItems.erase(aKey) > 0) {
+      mLog.push_back(StoreChange{aKey, ++mRevision, std::nullopt});
+    }
+  }
+  [[nodiscard]] StoreDelta Read() const {
+    StoreDelta delta{true, mRevision, {}};
+    for (const auto& [key, item] : mItems) {
+      delta.mChanges.push_back(item);
+    }
+    return delta;
+  }
+  [[nodiscard]] StoreDelta Since(std::uint64_t aRevision) const {
+    StoreDelta delta{false, mRevision, {}};
+    std::copy_if(mLog.begin(), mLog.end(), std::back_inserter(delta.mChanges),
+                 [aRevision](const StoreChange& aChange) {
+                   return aChange.mRevision > aRevision;
+                 });
+    return delta;
+  }
+
+  [[nodiscard]] std::map<std::string, std::string> Content() const {
+    std::map<std::string, std::string> content;
+    for (const auto& [key, item] : mItems) {
+      content[key] = *item.mValue;
+    }
+    return content;
+  }
+
+ private:
+  std::uint64_t mRevision = 1;
+  std::map<std::string, StoreChange> mItems;
+  std::vector<StoreChange> mLog;
+};
+
+std::map<std::string, std::string> ContentOf(const StoreView& aView) {
+  std::map<std::string, std::string> content;
+  for (const auto& [key, item] : aView.Items()) {
+    if (item.mValue) {
+      content[key] = *item.mValue;
+    }
+  }
+  return content;
+}
+
+TEST_CASE("view: hosts converge and no key goes back under any exchange") {
+  CHECK(rc::check("exchanges", [] {
+    FakeStore store;
+    std::vector<StoreView> views(3);
+    std::vector<StoreDelta> late;
+    std::vector<std::map<std::string, std::uint64_t>> seen(views.size());
+    const auto steps = *rc::gen::container<std::vector<std::tuple<int, int>>>(
+        rc::gen::tuple(rc::gen::inRange(0, 7), rc::gen::inRange(0, 6)));
+    for (const auto& [act, number] : steps) {
+      const std::string key = "k" + std::to_string(number % 4);
+      const std::size_t host = static_cast<std::size_t>(number) % views.size();
+      StoreView& view = views[host];
+      switch (act) {
+        case 0:
+          store.Write(key);
+          break;
+        case 1:
+          store.Remove(key);
+          break;
+        case 2:
+          view.Apply(store.Read());
+          break;
+        case 3:
+          if (view.IsLoaded()) {
+            view.Apply(store.Since(view.AsOf()));
+          }
+          break;
+        case 4: {
+          const StoreView& peer = views[(host + 1) % views.size()];
+          if (peer.IsLoaded()) {
+            view.Apply(peer.Since(view.IsLoaded() ? view.AsOf() : 0));
+          }
+          break;
+        }
+        case 5:
+          late.push_back(store.Read());
+          break;
+        default:
+          if (!late.empty()) {
+            view.Apply(late[static_cast<std::size_t>(number) % late.size()]);
+          }
+          break;
+      }
+      for (const auto& [name, item] : view.Items()) {
+        RC_ASSERT(item.mRevision >= seen[host][name]);
+        seen[host][name] = item.mRevision;
+      }
+    }
+    // One host hears from the store, the others from it.
+    views[0].Apply(store.Read());
+    views[1].Apply(views[0].Since(views[1].IsLoaded() ? views[1].AsOf() : 0));
+    RC_ASSERT(ContentOf(views[0]) == store.Content());
+    RC_ASSERT(ContentOf(views[1]) == store.Content());
+  }));
+}
+
+TEST_CASE("view: a host that lags behind the forgotten removals gets it all") {
+  FakeStore store;
+  store.Write("stays");
+  StoreView ahead;
+  ahead.Apply(store.Read());
+  StoreView behind;
+  behind.Apply(store.Read());
+  for (int number = 0; number < 600; ++number) {
+    const std::string key = "k" + std::to_string(number);
+    store.Write(key);
+    store.Remove(key);
+  }
+  ahead.Apply(store.Since(ahead.AsOf()));
+  const StoreDelta delta = ahead.Since(behind.AsOf());
+  CHECK(delta.mFull);
+  behind.Apply(delta);
+  CHECK(ContentOf(behind) == store.Content());
+}
+
+}  // namespace
+}  // namespace papayawheel
