Logs on standard output that hold up nobody; tests of the platform's formats

Lines go through a bounded queue and a writer of its own; routine lines are dropped first and what was dropped is counted and told.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -62,6 +62,26 @@
 
 }  // namespace
 
+std::string_view AttemptResultName(AttemptResult aResult) {
+  switch (aResult) {
+    case AttemptResult::Answered:
+      return "answered";
+    case AttemptResult::NotExecuted:
+      return "not_executed";
+    case AttemptResult::NotConnected:
+      return "not_connected";
+    case AttemptResult::Lost:
+      return "lost";
+    case AttemptResult::Garbled:
+      return "garbled";
+    case AttemptResult::TimedOut:
+      return "timed_out";
+    case AttemptResult::Cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
 EndpointPool::EndpointPool(std::string aDataCentre, std::uint32_t aSeed)
     : mDataCentre(std::move(aDataCentre)), mRandom(aSeed) {}
 
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/base/clock.h"
@@ -31,6 +32,9 @@
   Cancelled,
 };
 
+/** The word of a result in logs. */
+std::string_view AttemptResultName(AttemptResult aResult);
+
 /** Chooses among the endpoints of one service on one host.
  *
  * The time until an answer is estimated for each endpoint from the host's own
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -47,6 +47,10 @@
   ErrorKind mError = ErrorKind::BadRequest;
   /** When the caller may usefully come back; zero if it need not be told. */
   Duration mRetryAfter{0};
+  /** For logs: the route, empty if there is none. */
+  std::string mRoute;
+  /** For logs: endpoints that the call was sent to, the last one last. */
+  std::vector<std::string> mEndpoints;
 };
 
 /** Send a call to an endpoint. */
@@ -57,6 +61,10 @@
   std::string mAddress;
   /** How long the caller will still wait. */
   Duration mTimeLeft{0};
+  /** For logs: how long it was expected to take, and how many times longer
+   * than usual that is. */
+  Duration mExpected{0};
+  double mSlowdown = 1;
   /** The request must not meet a connection that the endpoint may be closing.
    */
   bool mNeedsFreshConnection = false;
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -257,6 +257,8 @@
   start.mAddress = aChoice.mAddress;
   start.mTimeLeft =
       std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow);
+  start.mExpected = aChoice.mExpected;
+  start.mSlowdown = aChoice.mSlowdown;
   start.mNeedsFreshConnection = aCall.mRoute.mKind == RouteKind::AtMostOnce;
   aActions.emplace_back(std::move(start));
   const bool mayHedge =
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -364,9 +364,11 @@
                             std::shared_ptr<const Response> aResponse,
                             GatewayActions& aActions) {
   ++mCounts.mAnswered;
-  if (!mCalls.at(aId).mCallerLeft) {
-    aActions.emplace_back(GatewayAnswer{
-        aId, std::move(aResponse), ErrorKind::BadRequest, Duration::zero()});
+  const Call& call = mCalls.at(aId);
+  if (!call.mCallerLeft) {
+    aActions.emplace_back(GatewayAnswer{aId, std::move(aResponse),
+                                        ErrorKind::BadRequest, Duration::zero(),
+                                        call.mRoute.mName, call.mTried});
   }
   Finish(aId, aActions);
 }
@@ -379,7 +381,8 @@
       call.mMayHaveRun && claimsNotRun ? ErrorKind::EndpointLost : aError;
   ++mCounts.mErrors[error];
   if (!call.mCallerLeft) {
-    aActions.emplace_back(GatewayAnswer{aId, nullptr, error, RetryAfter(call)});
+    aActions.emplace_back(GatewayAnswer{aId, nullptr, error, RetryAfter(call),
+                                        call.mRoute.mName, call.mTried});
   }
   Finish(aId, aActions);
 }
--- a/drivers/log.cpp
+++ b/drivers/log.cpp
@@ -1,12 +1,16 @@
 #include "drivers/log.h"
 
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 #include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdio>
 #include <iterator>
+#include <string>
+
+#include "drivers/log_queue.h"
 
 namespace papayawheel {
 namespace {
@@ -37,21 +41,29 @@
   aLine += '"';
 }
 
-}  // namespace
+/** Lines that wait for a slow reader of standard output. */
+constexpr std::size_t kMostWaitingBytes = 256U << 10U;
 
-std::optional<LogLevel> LogLevelNamed(std::string_view aName) {
-  for (std::size_t index = 0; index < kLevelNames.size(); ++index) {
-    if (kLevelNames.at(index) == aName) {
-      return static_cast<LogLevel>(index);
+void WriteToStandardOutput(const std::string& aLines) {
+  std::size_t written = 0;
+  while (written < aLines.size()) {
+    const ssize_t size =
+        write(STDOUT_FILENO, aLines.data() + written, aLines.size() - written);
+    if (size <= 0) {
+      // Nobody reads any more, and there is no other place to say so.
+      return;
     }
+    written += static_cast<std::size_t>(size);
   }
-  return std::nullopt;
 }
 
-void SetLogLevel(LogLevel aLevel) { sLevel = aLevel; }
+LogQueue& Queue() {
+  static LogQueue sQueue(WriteToStandardOutput, kMostWaitingBytes);
+  return sQueue;
+}
 
-void Log(LogLevel aLevel, std::string_view aEvent,
-         std::initializer_list<LogField> aFields) {
+void Write(LogLevel aLevel, LogWeight aWeight, std::string_view aEvent,
+           std::initializer_list<LogField> aFields) {
   if (aLevel < sLevel.load()) {
     return;
   }
@@ -74,7 +86,32 @@
     AppendValue(line, field.mValue);
   }
   line += '\n';
-  fmt::print(stderr, "{}", line);
+  Queue().Push(line, aWeight);
+}
+
+}  // namespace
+
+std::optional<LogLevel> LogLevelNamed(std::string_view aName) {
+  for (std::size_t index = 0; index < kLevelNames.size(); ++index) {
+    if (kLevelNames.at(index) == aName) {
+      return static_cast<LogLevel>(index);
+    }
+  }
+  return std::nullopt;
+}
+
+void SetLogLevel(LogLevel aLevel) { sLevel = aLevel; }
+
+void Log(LogLevel aLevel, std::string_view aEvent,
+         std::initializer_list<LogField> aFields) {
+  const bool routine = aLevel == LogLevel::Debug;
+  Write(aLevel, routine ? LogWeight::Routine : LogWeight::Finding, aEvent,
+        aFields);
+}
+
+void LogRoutine(std::string_view aEvent,
+                std::initializer_list<LogField> aFields) {
+  Write(LogLevel::Info, LogWeight::Routine, aEvent, aFields);
 }
 
 }  // namespace papayawheel
--- a/drivers/log.h
+++ b/drivers/log.h
@@ -27,9 +27,16 @@
 /** Drops events below this level; Info at the start. */
 void SetLogLevel(LogLevel aLevel);
 
-/** Writes one event as one line of key=value pairs to standard error. Values
- * with spaces or quotes are quoted. Safe for use by several threads. */
+/** Writes one event as one line of key=value pairs to standard output, without
+ * waiting for whoever reads it. Values with spaces or quotes are quoted. Events
+ * above Debug matter more than routine ones when not all can be written. Safe
+ * for use by several threads. */
 void Log(LogLevel aLevel, std::string_view aEvent,
          std::initializer_list<LogField> aFields = {});
 
+/** The same for the ordinary course of a request, at level Info: such lines are
+ * the first to be dropped. */
+void LogRoutine(std::string_view aEvent,
+                std::initializer_list<LogField> aFields = {});
+
 }  // namespace papayawheel
--- /dev/null
+++ b/drivers/log_queue.cpp
@@ -0,0 +1,88 @@
+#include "drivers/log_queue.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Lines that follow each other closely are written together. */
+constexpr milliseconds kGatherTime{50};
+
+/** How long the end of the process waits for the sink. */
+constexpr milliseconds kEndTime{200};
+
+}  // namespace
+
+LogQueue::LogQueue(Sink aSink, std::size_t aMostBytes)
+    : mMostBytes(aMostBytes), mState(std::make_shared<State>()) {
+  mWriter = std::thread(
+      [state = mState, sink = std::move(aSink)] { Write(state, sink); });
+}
+
+LogQueue::~LogQueue() {
+  std::unique_lock lock(mState->mMutex);
+  mState->mEnding = true;
+  mState->mChanged.notify_all();
+  mState->mChanged.wait_for(lock, kEndTime, [this] {
+    return mState->mWaiting.empty() && !mState->mWriting;
+  });
+  // A sink that takes nothing must not hold up the end of the process.
+  mWriter.detach();
+}
+
+void LogQueue::Push(const std::string& aLine, LogWeight aWeight) {
+  const std::size_t most =
+      aWeight == LogWeight::Routine ? mMostBytes / 2 : mMostBytes;
+  const std::lock_guard lock(mState->mMutex);
+  if (mState->mWaiting.size() + aLine.size() > most) {
+    ++mState->mDropped;
+    ++mState->mUntold;
+    return;
+  }
+  const bool wasEmpty = mState->mWaiting.empty();
+  mState->mWaiting += aLine;
+  if (wasEmpty) {
+    mState->mChanged.notify_all();
+  }
+}
+
+std::uint64_t LogQueue::Dropped() const {
+  const std::lock_guard lock(mState->mMutex);
+  return mState->mDropped;
+}
+
+void LogQueue::Write(const std::shared_ptr<State>& aState, const Sink& aSink) {
+  std::unique_lock lock(aState->mMutex);
+  while (true) {
+    aState->mChanged.wait(lock, [&aState] {
+      return !aState->mWaiting.empty() || aState->mEnding;
+    });
+    if (aState->mWaiting.empty()) {
+      return;
+    }
+    if (!aState->mEnding) {
+      aState->mChanged.wait_for(lock, kGatherTime,
+                                [&aState] { return aState->mEnding; });
+    }
+    std::string lines = std::exchange(aState->mWaiting, {});
+    const std::uint64_t untold = std::exchange(aState->mUntold, 0);
+    aState->mWriting = true;
+    lock.unlock();
+    if (untold > 0) {
+      lines += fmt::format("level=warning event=log_lines_dropped count={}\n",
+                           untold);
+    }
+    aSink(lines);
+    lock.lock();
+    aState->mWriting = false;
+    aState->mChanged.notify_all();
+  }
+}
+
+}  // namespace papayawheel
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -1,5 +1,8 @@
 #include "servers/gateway_traffic.h"
 
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
 #include <algorithm>
 #include <asio/post.hpp>
 #include <future>
@@ -275,20 +278,41 @@
   }
   HttpReply reply = WriteGatewayReply(aAnswer);
   reply.mClose = mLeaving;
-  if (aAnswer.mResponse == nullptr) {
-    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
-        mClock.Now() - exchange.mArrivedAt);
-    Log(LogLevel::Info, "request_failed",
-        {{"request", exchange.mRequestId},
-         {"error", AnswerOf(aAnswer.mError).mName},
-         {"status", reply.mStatus},
-         {"took_us", took.count()},
-         {"retry_after_us", aAnswer.mRetryAfter.count()},
-         {"revision", mView == nullptr ? 0 : mView->mRevision}});
-  }
+  LogAnswer(exchange, aAnswer, reply);
   exchange.mHttp->Reply(reply);
 }
 
+void GatewayTraffic::LogAnswer(const Exchange& aExchange,
+                               const GatewayAnswer& aAnswer,
+                               const HttpReply& aReply) const {
+  const auto took = std::chrono::duration_cast<std::chrono::microseconds>(
+      mClock.Now() - aExchange.mArrivedAt);
+  const std::uint64_t version = mView == nullptr || mView->mRoutes == nullptr
+                                    ? 0
+                                    : mView->mRoutes->Source().mVersion;
+  const std::string endpoints =
+      fmt::format("{}", fmt::join(aAnswer.mEndpoints, ","));
+  if (aAnswer.mResponse != nullptr) {
+    LogRoutine("request_answered", {{"request", aExchange.mRequestId},
+                                    {"route", aAnswer.mRoute},
+                                    {"configuration", version},
+                                    {"status", aReply.mStatus},
+                                    {"endpoints", endpoints},
+                                    {"took_us", took.count()}});
+    return;
+  }
+  Log(LogLevel::Info, "request_failed",
+      {{"request", aExchange.mRequestId},
+       {"route", aAnswer.mRoute},
+       {"configuration", version},
+       {"error", AnswerOf(aAnswer.mError).mName},
+       {"status", aReply.mStatus},
+       {"endpoints", endpoints},
+       {"took_us", took.count()},
+       {"retry_after_us", aAnswer.mRetryAfter.count()},
+       {"revision", mView == nullptr ? 0 : mView->mRevision}});
+}
+
 void GatewayTraffic::StartSending(const StartAttempt& aStart) {
   const auto found = mExchanges.find(aStart.mCall);
   if (found == mExchanges.end()) {
@@ -323,7 +347,7 @@
                          : exchange->second.mRequestId},
          {"endpoint", aStart.mEndpoint},
          {"address", aStart.mAddress},
-         {"result", static_cast<int>(reply.mResult)},
+         {"result", AttemptResultName(reply.mResult)},
          {"reason", aAnswer.mReason}});
   }
   Act(mEngine.AttemptEnded(aStart.mAttempt, reply, mClock.Now()));
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -71,6 +71,8 @@
   void CallerClosed(std::uint64_t aConnection);
   void Act(const GatewayActions& aActions);
   void Answer(const GatewayAnswer& aAnswer);
+  void LogAnswer(const Exchange& aExchange, const GatewayAnswer& aAnswer,
+                 const HttpReply& aReply) const;
   void StartSending(const StartAttempt& aStart);
   void Probe(const StartProbe& aProbe);
   void AttemptEnded(const StartAttempt& aStart, const EndpointAnswer& aAnswer);
--- a/tests/drivers/test_endpoint_client.cpp
+++ b/tests/drivers/test_endpoint_client.cpp
@@ -22,8 +22,8 @@
 class ScriptedEndpoint {
  public:
   /** @param aScript what to write for each request of a connection. */
-  ScriptedEndpoint(asio::io_context& aContext,
-                   std::vector<std::string> aScript, bool aCloseAfterwards)
+  ScriptedEndpoint(asio::io_context& aContext, std::vector<std::string> aScript,
+                   bool aCloseAfterwards)
       : mAcceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         mScript(std::move(aScript)),
         mCloseAfterwards(aCloseAfterwards) {
@@ -102,8 +102,9 @@
   std::vector<EndpointAnswer> answers;
   for (const std::string& id : aIds) {
     std::optional<EndpointAnswer> answer;
-    aClient.Send(MakeRequest(aAddress, id),
-                 [&answer](const EndpointAnswer& aAnswer) { answer = aAnswer; });
+    aClient.Send(
+        MakeRequest(aAddress, id),
+        [&answer](const EndpointAnswer& aAnswer) { answer = aAnswer; });
     aContext.restart();
     while (!answer && aContext.run_one() > 0) {
     }
@@ -193,8 +194,7 @@
     asio::io_context context;
     ScriptedEndpoint endpoint(context, one.mScript, one.mCloses);
     EndpointClient client(context);
-    const auto answers =
-        SendAll(context, client, endpoint.Address(), one.mIds);
+    const auto answers = SendAll(context, client, endpoint.Address(), one.mIds);
     for (std::size_t index = 0; index < answers.size(); ++index) {
       CHECK(answers[index].mOutcome == one.mOutcomes[index]);
       if (answers[index].mResponse != nullptr) {
@@ -205,8 +205,9 @@
   }
 }
 
-TEST_CASE("endpoint client: a connection that was made in time is not given up "
-          "by a process that was held up") {
+TEST_CASE(
+    "endpoint client: a connection that was made in time is not given up "
+    "by a process that was held up") {
   asio::io_context context;
   ScriptedEndpoint endpoint(context, {Reply("1", "one")}, false);
   EndpointClient client(context);
--- /dev/null
+++ b/tests/drivers/test_log_queue.cpp
@@ -0,0 +1,51 @@
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+
+#include "drivers/log_queue.h"
+
+namespace papayawheel {
+namespace {
+
+TEST_CASE("log queue: a sink that takes nothing holds up nobody") {
+  auto blocked = std::make_shared<std::promise<void>>();
+  const std::shared_future<void> open = blocked->get_future().share();
+  constexpr std::size_t kMostBytes = 1000;
+  const std::string line(9, 'x');
+  {
+    LogQueue queue([open](const std::string&) { open.wait(); }, kMostBytes);
+    for (int number = 0; number < 10'000; ++number) {
+      queue.Push(line + "\n", LogWeight::Routine);
+    }
+    const std::uint64_t routine = queue.Dropped();
+    CHECK(routine >= 10'000 - kMostBytes / 10);
+    // Findings still find room.
+    queue.Push(line + "\n", LogWeight::Finding);
+    CHECK(queue.Dropped() == routine);
+    for (int number = 0; number < 1000; ++number) {
+      queue.Push(line + "\n", LogWeight::Finding);
+    }
+    CHECK(queue.Dropped() > routine);
+  }
+  blocked->set_value();
+}
+
+TEST_CASE(
+    "log queue: lines are written in order, and what was dropped is told") {
+  auto written = std::make_shared<std::string>();
+  {
+    LogQueue queue([written](const std::string& aText) { *written += aText; },
+                   100);
+    queue.Push("one\n", LogWeight::Routine);
+    queue.Push(std::string(200, 'x') + "\n", LogWeight::Finding);
+    queue.Push("two\n", LogWeight::Finding);
+  }
+  CHECK(*written ==
+        "one\ntwo\nlevel=warning event=log_lines_dropped count=1\n");
+}
+
+}  // namespace
+}  // namespace papayawheel
--- /dev/null
+++ b/tests/servers/test_gateway_messages.cpp
@@ -0,0 +1,175 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "drivers/header_text.h"
+#include "servers/gateway_messages.h"
+#include "servers/gossip_codec.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+class FakeExchange : public HttpExchange {
+ public:
+  FakeExchange(std::string aMethod, HeaderList aHeaders, std::string aBody)
+      : mMethod(std::move(aMethod)),
+        mHeaders(std::move(aHeaders)),
+        mBody(std::move(aBody)) {}
+
+  std::string Method() const override { return mMethod; }
+  std::string Target() const override { return "/stock/7?x=%20y"; }
+  std::optional<std::string> Header(const std::string& aName) const override {
+    return FindHeader(mHeaders, aName);
+  }
+  HeaderList Headers() const override { return mHeaders; }
+  const std::string& Body() const override { return mBody; }
+  std::uint64_t ConnectionId() const override { return 1; }
+  void Reply(const HttpReply& /*aReply*/) override {}
+
+ private:
+  std::string mMethod;
+  HeaderList mHeaders;
+  std::string mBody;
+};
+
+TEST_CASE("gateway messages: what an endpoint gets") {
+  const FakeExchange exchange("POST",
+                              {{"Host", "a.example"},
+                               {"Papayawheel-Request-Id", "77"},
+                               {"papayawheel-deadline-ms", "900"},
+                               {"Papayawheel-Expect-Instance", "forged"},
+                               {"Connection", "keep-alive, X-Hop"},
+                               {"X-Hop", "1"},
+                               {"X-End", "2"},
+                               {"Transfer-Encoding", "chunked"},
+                               {"Expect", "100-continue"}},
+                              "body");
+  StartAttempt start;
+  start.mEndpoint = "i-1";
+  start.mAddress = "10.0.0.1:80";
+  start.mTimeLeft = milliseconds(640);
+  start.mNeedsFreshConnection = true;
+  const EndpointRequest request = WriteEndpointRequest(exchange, start);
+  CHECK(request.mMethod == "POST");
+  CHECK(request.mTarget == "/stock/7?x=%20y");
+  CHECK(request.mBody == "body");
+  CHECK(request.mEchoValue == "77");
+  CHECK(request.mMostIdle <= milliseconds(1000));
+  const HeaderList expected = {{"Host", "a.example"},
+                               {"Papayawheel-Request-Id", "77"},
+                               {"X-End", "2"},
+                               {"Papayawheel-Deadline-Ms", "640"},
+                               {"Papayawheel-Expect-Instance", "i-1"}};
+  CHECK(request.mHeaders == expected);
+}
+
+TEST_CASE("gateway messages: how long a caller waits") {
+  struct Case {
+    HeaderList mHeaders;
+    std::optional<Duration> mPatience;
+  };
+  const std::vector<Case> cases = {
+      {{}, std::nullopt},
+      {{{"Papayawheel-Deadline-Ms", "800"}}, milliseconds(800)},
+      {{{"Papayawheel-Deadline-Ms", "soon"}}, std::nullopt},
+      {{{"Papayawheel-Deadline-Ms", "-5"}}, milliseconds(0)},
+  };
+  for (const Case& one : cases) {
+    const FakeExchange exchange("GET", one.mHeaders, "");
+    CHECK(ReadGatewayRequest(exchange).mPatience == one.mPatience);
+  }
+}
+
+TEST_CASE("gateway messages: what an endpoint's answer means") {
+  struct Case {
+    EndpointOutcome mOutcome;
+    int mStatus;
+    HeaderList mHeaders;
+    AttemptResult mResult;
+  };
+  const std::vector<Case> cases = {
+      {EndpointOutcome::Answered, 200, {}, AttemptResult::Answered},
+      {EndpointOutcome::Answered, 500, {}, AttemptResult::Answered},
+      {EndpointOutcome::Answered, 503, {}, AttemptResult::Answered},
+      {EndpointOutcome::Answered,
+       503,
+       {{"Papayawheel-Not-Executed", "1"}},
+       AttemptResult::NotExecuted},
+      {EndpointOutcome::Answered, 421, {}, AttemptResult::NotExecuted},
+      {EndpointOutcome::Answered,
+       200,
+       {{"Content-Encoding", "gzip"}},
+       AttemptResult::Garbled},
+      {EndpointOutcome::Lost, 0, {}, AttemptResult::Lost},
+      {EndpointOutcome::NotConnected, 0, {}, AttemptResult::NotConnected},
+      {EndpointOutcome::Garbled, 0, {}, AttemptResult::Garbled},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mStatus);
+    EndpointAnswer answer;
+    answer.mOutcome = one.mOutcome;
+    if (one.mOutcome == EndpointOutcome::Answered) {
+      answer.mResponse = std::make_shared<Response>();
+      answer.mResponse->mStatus = one.mStatus;
+      answer.mResponse->mHeaders = one.mHeaders;
+    }
+    CHECK(ReadEndpointAnswer(answer).mResult == one.mResult);
+  }
+}
+
+TEST_CASE("gateway messages: refusals say when to come back") {
+  GatewayAnswer answer;
+  answer.mError = ErrorKind::Overloaded;
+  answer.mRetryAfter = milliseconds(40);
+  const HttpReply refused = WriteGatewayReply(answer);
+  CHECK(refused.mStatus == 503);
+  CHECK(FindHeader(refused.mHeaders, "retry-after") == "0.040");
+  answer.mError = ErrorKind::TimedOut;
+  CHECK_FALSE(FindHeader(WriteGatewayReply(answer).mHeaders, "retry-after"));
+}
+
+TEST_CASE("gossip codec: messages and views survive the way") {
+  GossipMessage message;
+  message.mKind = GossipMessage::Kind::Notice;
+  message.mSender.mName = "h1";
+  message.mSender.mDataCentre = "a";
+  message.mSender.mGossipAddress = "10.0.0.1:7720";
+  message.mSender.mControlAddress = "10.0.0.1:8166";
+  message.mSender.mFrontAddress = "10.0.0.1:8161";
+  message.mSender.mIncarnation = 1767225600123;
+  message.mSender.mVersion = 3;
+  message.mSender.mState = MemberState::Leaving;
+  message.mSender.mStoreFailing = true;
+  message.mView = ViewSummary{9, 12, milliseconds(30)};
+  MemberRecord brief;
+  brief.mName = "h2";
+  brief.mIncarnation = 5;
+  brief.mVersion = 1;
+  message.mRecords = {message.mSender, brief};
+  message.mDoubts = {"h3"};
+  message.mCrashes = {EndpointCrash{0xfedcba9876543210ULL, "i-1"}};
+  const std::string datagram = EncodeGossip(message);
+  const auto decoded = DecodeGossip(datagram);
+  REQUIRE(decoded);
+  CHECK(EncodeGossip(*decoded) == datagram);
+  CHECK(decoded->mRecords[1].IsBrief());
+  CHECK(decoded->mSender.mState == MemberState::Leaving);
+  for (std::size_t size = 0; size < datagram.size(); ++size) {
+    CHECK_FALSE(DecodeGossip(datagram.substr(0, size)));
+  }
+  ViewTransfer transfer;
+  transfer.mDelta =
+      StoreDelta{true, 12, {{"a", 3, "x"}, {"b", 4, std::nullopt}}};
+  const auto view = DecodeView(EncodeView(transfer));
+  REQUIRE(view);
+  CHECK(view->mDelta.mChanges[0].mValue == "x");
+  CHECK_FALSE(view->mDelta.mChanges[1].mValue);
+  CHECK_FALSE(view->mAge);
+  CHECK_FALSE(DecodeView("{}"));
+}
+
+}  // namespace
+}  // namespace papayawheel
