--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -284,6 +284,13 @@
   if (found == mExchanges.end()) {
     return;
   }
+  LogRoutine("attempt_started",
+             {{"request", found->second.mRequestId},
+              {"endpoint", aStart.mEndpoint},
+              {"address", aStart.mAddress},
+              {"expected_us", aStart.mExpected.count()},
+              {"slowdown", fmt::format("{:.2f}", aStart.mSlowdown)},
+              {"time_left_us", aStart.mTimeLeft.count()}});
   const auto id =
       mClient.Send(WriteEndpointRequest(*found->second.mHttp, aStart),
                    [this, aStart](const EndpointAnswer& aAnswer) {
