Questions for loads that stay unanswered are closed

Traffic never kept which transfer asks which question, so the order to end one found nothing: a question to an endpoint that stands still with its connections open stayed open for good.

--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -121,10 +121,7 @@
   }
   for (const auto& [id, entry] : *mView->mEndpoints) {
     const auto found = aNow.find(id);
-    const bool sameProcess = found != aNow.end() &&
-                             found->second.mIncarnation == entry.mIncarnation &&
-                             found->second.mAddress == entry.mAddress;
-    if (!sameProcess) {
+    if (found == aNow.end() || !IsSameStart(found->second, entry)) {
       mClient.Forget(id);
     }
   }
@@ -300,11 +297,13 @@
 }
 
 void GatewayTraffic::Probe(const StartProbe& aProbe) {
-  mClient.Send(WriteProbe(aProbe),
-               [this, aProbe](const EndpointAnswer& aAnswer) {
-                 const auto sample = ReadProbeAnswer(aProbe.mEndpoint, aAnswer);
-                 Act(mEngine.ProbeEnded(aProbe.mProbe, sample, mClock.Now()));
-               });
+  const auto id = mClient.Send(
+      WriteProbe(aProbe), [this, aProbe](const EndpointAnswer& aAnswer) {
+        mProbing.erase(aProbe.mProbe);
+        const auto sample = ReadProbeAnswer(aProbe.mEndpoint, aAnswer);
+        Act(mEngine.ProbeEnded(aProbe.mProbe, sample, mClock.Now()));
+      });
+  mProbing[aProbe.mProbe] = id;
 }
 
 void GatewayTraffic::AttemptEnded(const StartAttempt& aStart,
