News of the store reaches large fleets in steps, without full copies

Cause, traced before: when the store drops its history or was away, readers read it anew, and a host that did so sent everybody behind it a full copy (302 entries, 85 KB); and all hosts of a data centre fetched from the one that told them.

Change: a copy remembers the revisions between which it saw nothing (StoreGap) and sends full copies only to hosts whose copy ends inside; gaps are passed on with what is sent. Changes are told to hosts at doubling distances in the data centre, farthest first, which tell others the same way. A host whose link is busy refuses a fetch at once, and the one refused asks another that told it.

--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -1,6 +1,7 @@
 #include "core/gossip/gossip_engine.h"
 
 #include <algorithm>
+#include <bit>
 #include <tuple>
 #include <utility>
 
@@ -29,6 +30,9 @@
 constexpr std::size_t kSmallFleet = 40;
 /** Hosts of each other data centre that a larger fleet is told through. */
 constexpr std::size_t kRelays = 4;
+/** The same for changes of the store, which those that were told fetch from
+ * the host that told them, over a slow link. */
+constexpr std::size_t kViewRelays = 2;
 
 /** Hosts to whom a doubt is told. */
 constexpr std::size_t kDoubtsTold = 8;
@@ -341,13 +345,41 @@
   return datagrams;
 }
 
-Datagrams GossipEngine::AnnounceNearby(TimePoint /*aNow*/) {
+Datagrams GossipEngine::TellView(bool aAfar) {
   Datagrams datagrams;
   const GossipMessage message = Compose(GossipMessage::Kind::Notice);
-  for (const MemberRecord& other : Reachable()) {
-    if (other.mDataCentre == mSelf.mDataCentre) {
-      datagrams.push_back(Datagram{other.mGossipAddress, message});
-    }
+  const auto tell = [&](const MemberRecord& aOther) {
+    datagrams.push_back(Datagram{aOther.mGossipAddress, message});
+  };
+  std::vector<MemberRecord> others = Reachable();
+  if (!RelaysNews()) {
+    std::for_each(others.begin(), others.end(), tell);
+    return datagrams;
+  }
+  const auto firstAfar = std::stable_partition(
+      others.begin(), others.end(), [this](const MemberRecord& aOther) {
+        return aOther.mDataCentre == mSelf.mDataCentre;
+      });
+  std::vector<MemberRecord> afar(firstAfar, others.end());
+  others.erase(firstAfar, others.end());
+  if (aAfar) {
+    std::shuffle(afar.begin(), afar.end(), mRandom);
+    std::map<std::string, std::size_t> told;
+    std::erase_if(afar, [&told](const MemberRecord& aOther) {
+      return ++told[aOther.mDataCentre] > kViewRelays;
+    });
+    std::for_each(afar.begin(), afar.end(), tell);
+  }
+  // Hosts at distances that double, the farthest first: each tells others the
+  // same way, so all are reached in as many steps as there are distances.
+  const std::size_t next = static_cast<std::size_t>(std::distance(
+      others.begin(), std::find_if(others.begin(), others.end(),
+                                   [this](const MemberRecord& aOther) {
+                                     return aOther.mName > mSelf.mName;
+                                   })));
+  for (std::size_t distance = std::bit_floor(others.size()); distance > 0;
+       distance /= 2) {
+    tell(others[(next + distance - 1) % others.size()]);
   }
   return datagrams;
 }
--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -10,6 +10,10 @@
  * full copy. */
 constexpr std::size_t kMostRemovals = 256;
 
+/** Gaps that are remembered; a host from before the others needs a full copy.
+ */
+constexpr std::size_t kMostGaps = 8;
+
 }  // namespace
 
 std::vector<StoreChange> StoreView::Apply(const StoreDelta& aDelta) {
@@ -17,6 +21,7 @@
   if (aDelta.mFull && mLoaded && aDelta.mAsOf < mAsOf) {
     return news;
   }
+  const std::uint64_t before = mAsOf;
   std::set<std::string> present;
   for (const StoreChange& change : aDelta.mChanges) {
     present.insert(change.mKey);
@@ -39,9 +44,11 @@
         news.push_back(item);
       }
     }
-    // Keys that came and went since the copy before are in neither, so a host
-    // that lags behind this one needs a full copy too.
-    mForgotten = std::max(mForgotten, aDelta.mAsOf);
+    // Keys that came and went since the copy before are in neither.
+    NoteGap(before, aDelta.mAsOf);
+  }
+  for (const StoreGap& gap : aDelta.mGaps) {
+    NoteGap(std::max(gap.mAfter, before), gap.mUntil);
   }
   mLoaded = mLoaded || aDelta.mFull;
   Advance(aDelta.mAsOf);
@@ -53,8 +60,13 @@
 
 StoreDelta StoreView::Since(std::uint64_t aRevision) const {
   StoreDelta delta;
-  delta.mFull = aRevision < mForgotten || aRevision == 0;
+  delta.mFull = NeedsFullCopy(aRevision);
   delta.mAsOf = mAsOf;
+  if (!delta.mFull) {
+    std::copy_if(
+        mGaps.begin(), mGaps.end(), std::back_inserter(delta.mGaps),
+        [aRevision](const StoreGap& aGap) { return aGap.mUntil > aRevision; });
+  }
   for (const auto& [key, item] : mItems) {
     const bool wanted =
         delta.mFull ? item.mValue.has_value() : item.mRevision > aRevision;
@@ -65,6 +77,36 @@
   return delta;
 }
 
+bool StoreView::NeedsFullCopy(std::uint64_t aRevision) const {
+  if (aRevision < mForgotten || aRevision == 0) {
+    return true;
+  }
+  return std::any_of(
+      mGaps.begin(), mGaps.end(), [aRevision](const StoreGap& aGap) {
+        return aRevision > aGap.mAfter && aRevision < aGap.mUntil;
+      });
+}
+
+void StoreView::NoteGap(std::uint64_t aAfter, std::uint64_t aUntil) {
+  if (aAfter == 0) {
+    // Nothing was known before.
+    mForgotten = std::max(mForgotten, aUntil);
+  } else if (aAfter + 1 < aUntil) {
+    const StoreGap gap{aAfter, aUntil};
+    const auto isLater = [](const StoreGap& aLeft, const StoreGap& aRight) {
+      return aLeft.mUntil < aRight.mUntil;
+    };
+    mGaps.insert(std::upper_bound(mGaps.begin(), mGaps.end(), gap, isLater),
+                 gap);
+  }
+  if (mGaps.size() > kMostGaps) {
+    mForgotten = std::max(mForgotten, mGaps.front().mUntil);
+  }
+  std::erase_if(mGaps, [this](const StoreGap& aGap) {
+    return aGap.mUntil <= mForgotten;
+  });
+}
+
 void StoreView::ForgetOldRemovals() {
   std::vector<std::pair<std::uint64_t, std::string>> removals;
   for (const auto& [key, item] : mItems) {
--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -17,6 +17,15 @@
   std::optional<std::string> mValue;
 };
 
+/** Revisions between which a copy knows nothing: it was read anew at the end,
+ * so keys that came and went in between were never seen. */
+struct StoreGap {
+  std::uint64_t mAfter = 0;
+  std::uint64_t mUntil = 0;
+
+  bool operator==(const StoreGap&) const = default;
+};
+
 /** What has changed since some revision. */
 struct StoreDelta {
   /** The changes are all that there is; keys that are missing are gone. */
@@ -24,6 +33,8 @@
   /** Nothing else changed up to this revision. */
   std::uint64_t mAsOf = 0;
   std::vector<StoreChange> mChanges;
+  /** Where a receiver knows as little as the sender. */
+  std::vector<StoreGap> mGaps = {};
 };
 
 /** A copy of the platform's store, kept by revision so that two hosts can
@@ -51,13 +62,17 @@
   }
 
  private:
+  void NoteGap(std::uint64_t aAfter, std::uint64_t aUntil);
   void ForgetOldRemovals();
+  [[nodiscard]] bool NeedsFullCopy(std::uint64_t aRevision) const;
 
   bool mLoaded = false;
   std::uint64_t mAsOf = 0;
   std::uint64_t mNewest = 0;
   /** Removals up to this revision have been forgotten. */
   std::uint64_t mForgotten = 0;
+  /** In the order of their ends; those before mForgotten are not kept. */
+  std::vector<StoreGap> mGaps;
   /** Removed keys stay as such for a while. */
   std::map<std::string, StoreChange> mItems;
 };
--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -46,6 +46,29 @@
  * asked: a host that is cut off still serves its callers. */
 constexpr seconds kMostDistrust{3};
 
+/** What a host sends to others in a second, at least: slow links have 10
+ * Mbit/s. */
+constexpr double kSentPerSecond = 10e6 / 8;
+
+/** Nothing more is offered while so much is being sent. A host that is refused
+ * asks another that has it by then. */
+constexpr milliseconds kMostBacklog{120};
+
+/** Bytes around one change in a transfer. */
+constexpr std::size_t kBytesPerChange = 48;
+
+/** Hosts that are remembered as other sources during a pull. */
+constexpr std::size_t kMostSources = 4;
+
+std::size_t SizeOf(const StoreDelta& aDelta) {
+  std::size_t bytes = 0;
+  for (const StoreChange& change : aDelta.mChanges) {
+    bytes += kBytesPerChange + change.mKey.size();
+    bytes += change.mValue ? change.mValue->size() : 0;
+  }
+  return bytes;
+}
+
 }  // namespace
 
 ViewKeeper::ViewKeeper(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart)
@@ -125,9 +148,28 @@
     mPromisedAt = aNow - *aSummary.mAge;
   }
   if (!mPulling) {
-    mPulling = true;
-    actions.emplace_back(
-        PullView{aControlAddress, mView.IsLoaded() ? mView.AsOf() : 0});
+    actions.emplace_back(PullFrom(aControlAddress));
+    return actions;
+  }
+  std::erase(mOtherSources, aControlAddress);
+  mOtherSources.push_back(aControlAddress);
+  if (mOtherSources.size() > kMostSources) {
+    mOtherSources.erase(mOtherSources.begin());
+  }
+  return actions;
+}
+
+PullView ViewKeeper::PullFrom(const std::string& aControlAddress) {
+  mPulling = true;
+  std::erase(mOtherSources, aControlAddress);
+  return PullView{aControlAddress, mView.IsLoaded() ? mView.AsOf() : 0};
+}
+
+ViewActions ViewKeeper::PullElsewhere() {
+  ViewActions actions;
+  if (!mPulling && !mOtherSources.empty()) {
+    const std::string source = mOtherSources.back();
+    actions.emplace_back(PullFrom(source));
   }
   return actions;
 }
@@ -148,9 +190,25 @@
     Vouch(mPromisedAt, aNow);
     mPromisedNewest = 0;
   }
+  if (mPromisedNewest == 0) {
+    mOtherSources.clear();
+  }
   return news;
 }
 
+std::optional<StoreDelta> ViewKeeper::Offer(std::uint64_t aRevision,
+                                            TimePoint aNow) {
+  if (mSendingUntil > aNow + kMostBacklog) {
+    return std::nullopt;
+  }
+  StoreDelta delta = mView.Since(aRevision);
+  const std::chrono::duration<double> sending(
+      static_cast<double>(SizeOf(delta)) / kSentPerSecond);
+  mSendingUntil = std::max<TimePoint>(mSendingUntil, aNow) +
+                  std::chrono::duration_cast<Duration>(sending);
+  return delta;
+}
+
 std::vector<StoreChange> ViewKeeper::StoreAnswered(const StoreDelta& aDelta,
                                                    TimePoint aNow) {
   mCalling = false;
@@ -185,6 +243,7 @@
   mCalling = false;
   mWatching = false;
   mPulling = false;
+  mOtherSources.clear();
   mNextCall = aNow + milliseconds(100) + Jitter(milliseconds(100));
 }
 
--- a/core/view/view_keeper.h
+++ b/core/view/view_keeper.h
@@ -67,6 +67,13 @@
    * @param aAge how old the other host's copy was. */
   std::vector<StoreChange> Pulled(const std::optional<StoreDelta>& aDelta,
                                   std::optional<Duration> aAge, TimePoint aNow);
+  /** After a pull has failed or brought less than was told meanwhile: the
+   * next host to ask. */
+  ViewActions PullElsewhere();
+
+  /** What another host lacks that knows everything up to a revision; nothing
+   * while so much is being sent that it would come too late. */
+  std::optional<StoreDelta> Offer(std::uint64_t aRevision, TimePoint aNow);
 
   /** The store answered a read or a watch. */
   std::vector<StoreChange> StoreAnswered(const StoreDelta& aDelta,
@@ -86,6 +93,7 @@
   [[nodiscard]] const StoreView& View() const { return mView; }
 
  private:
+  PullView PullFrom(const std::string& aControlAddress);
   void Vouch(TimePoint aAt, TimePoint aNow);
   [[nodiscard]] std::optional<TimePoint> VouchedAt(TimePoint aNow) const;
   [[nodiscard]] bool WantsOwnRead(TimePoint aNow) const;
@@ -106,6 +114,10 @@
   std::uint32_t mFailures = 0;
   TimePoint mNextCall;
   bool mPulling = false;
+  /** Hosts that told news during a pull, latest last. */
+  std::vector<std::string> mOtherSources;
+  /** When what was offered to others will have been sent. */
+  TimePoint mSendingUntil;
   /** What a host that knows more vouched for, until that is known here. */
   std::uint64_t mPromisedNewest = 0;
   TimePoint mPromisedAt;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -31,6 +31,7 @@
 constexpr std::string_view kStatusPath = "/status";
 
 constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
 
 std::uint64_t NewIncarnation(const Clock& aClock) {
   // Restarts of a host are further apart than a millisecond.
@@ -283,9 +284,9 @@
   }
   const bool fromStore = aSource == "watch" || aSource == "read";
   if (fromStore) {
-    Send(mGossip.Announce({}, now));
+    Send(mGossip.TellView(true));
   } else if (mGossip.RelaysNews()) {
-    Send(mGossip.AnnounceNearby(now));
+    Send(mGossip.TellView(false));
   }
 }
 
@@ -365,11 +366,13 @@
   HttpReply reply;
   if (path == kViewTransferPath) {
     const TimePoint now = mClock.Now();
-    ViewTransfer transfer;
-    transfer.mDelta =
-        mKeeper.View().Since(QueryNumber(aExchange->Target(), "after"));
-    transfer.mAge = mKeeper.Summary(now).mAge;
-    reply.mBody = EncodeView(transfer);
+    const auto delta =
+        mKeeper.Offer(QueryNumber(aExchange->Target(), "after"), now);
+    if (delta) {
+      reply.mBody = EncodeView(ViewTransfer{*delta, mKeeper.Summary(now).mAge});
+    } else {
+      reply.mStatus = kUnavailable;
+    }
   } else if (path == kMetricsPath) {
     reply.mContentType = "text/plain; version=0.0.4";
     reply.mBody = mHooks.mRenderMetrics();
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -116,6 +116,13 @@
       age = transfer->mAge;
     }
     TakeChanges(mKeeper.Pulled(delta, age, mClock.Now()), peer);
+    if (!delta) {
+      Log(LogLevel::Info, "pull_failed",
+          {{"peer", peer},
+           {"status", aResult.mStatus},
+           {"result", static_cast<int>(aResult.mKind)}});
+    }
+    Act(mKeeper.PullElsewhere());
     Turn();
   });
 }
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -126,10 +126,15 @@
   for (const StoreChange& change : aTransfer.mDelta.mChanges) {
     changes.push_back(RenderChange(change));
   }
+  Json gaps = Json::array();
+  for (const StoreGap& gap : aTransfer.mDelta.mGaps) {
+    gaps.push_back(Json::array({gap.mAfter, gap.mUntil}));
+  }
   const Json document = {{"full", aTransfer.mDelta.mFull},
                          {"as_of", aTransfer.mDelta.mAsOf},
                          {"age_us", RenderAge(aTransfer.mAge)},
-                         {"changes", changes}};
+                         {"changes", changes},
+                         {"gaps", gaps}};
   // Values of other writers may not be text.
   return document.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -144,6 +149,10 @@
     for (const Json& change : document.at("changes")) {
       transfer.mDelta.mChanges.push_back(ParseChange(change));
     }
+    for (const Json& gap : document.at("gaps")) {
+      transfer.mDelta.mGaps.push_back(StoreGap{
+          gap.at(0).get<std::uint64_t>(), gap.at(1).get<std::uint64_t>()});
+    }
     return transfer;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -23,6 +23,19 @@
 constexpr milliseconds kLongestTurn{400};
 constexpr std::size_t kSeeds = 3;
 
+/** Bytes of a transfer between hosts beside keys and values. */
+constexpr std::size_t kBytesPerTransfer = 300;
+constexpr std::size_t kBytesPerChange = 40;
+
+std::size_t SizeOf(const StoreDelta& aDelta) {
+  std::size_t bytes = kBytesPerTransfer;
+  for (const StoreChange& change : aDelta.mChanges) {
+    bytes += kBytesPerChange + change.mKey.size() +
+             change.mValue.value_or("").size();
+  }
+  return bytes;
+}
+
 }  // namespace
 
 GossipFleet::GossipFleet(std::size_t aHosts, std::size_t aDataCentres,
@@ -78,11 +91,13 @@
   mEvents.RunUntil(mEvents.Now() + aTime);
 }
 
-std::uint64_t GossipFleet::Publish() {
+std::uint64_t GossipFleet::Publish(std::size_t aBytes) {
   ++mRevision;
-  mLog.push_back(StoreChange{"key", mRevision, std::to_string(mRevision)});
-  const std::vector<Waiting> waiting = std::exchange(mWaiting, {});
-  for (const Waiting& one : waiting) {
+  std::erase_if(mContent, [](const StoreChange& aChange) {
+    return aChange.mKey == "key";
+  });
+  mContent.push_back(StoreChange{"key", mRevision, std::string(aBytes, 'v')});
+  for (const Waiting& one : std::exchange(mWaiting, {})) {
     if (mStoreDown || mHosts[one.mHost].mCutFromStore) {
       // The answer is lost on the way.
       continue;
@@ -92,11 +107,30 @@
   return mRevision;
 }
 
-StoreDelta GossipFleet::StoreSince(std::uint64_t aRevision) const {
-  StoreDelta delta{aRevision == 0, mRevision, {}};
-  if (mLog.back().mRevision > aRevision) {
-    delta.mChanges.push_back(mLog.back());
+void GossipFleet::Fill(std::size_t aKeys, std::size_t aBytes) {
+  for (std::size_t key = 0; key < aKeys; ++key) {
+    mContent.push_back(StoreChange{fmt::format("other{}", key), ++mRevision,
+                                   std::string(aBytes, 'v')});
+  }
+}
+
+void GossipFleet::DropHistory() {
+  mHistoryFrom = mRevision;
+  for (const Waiting& one : std::exchange(mWaiting, {})) {
+    mEvents.After(kStoreDelay,
+                  [this, one] { StoreFailed(one, StoreFailure::HistoryGone); });
   }
+}
+
+StoreDelta GossipFleet::StoreSince(std::uint64_t aRevision) const {
+  StoreDelta delta;
+  delta.mFull = aRevision == 0;
+  delta.mAsOf = mRevision;
+  std::copy_if(mContent.begin(), mContent.end(),
+               std::back_inserter(delta.mChanges),
+               [aRevision](const StoreChange& aChange) {
+                 return aChange.mRevision > aRevision;
+               });
   return delta;
 }
 
@@ -215,17 +249,19 @@
     const Duration timeout = watch == nullptr
                                  ? Duration(kStoreTimeout)
                                  : Duration(watch->mWait + kWatchSlack);
-    mEvents.After(timeout, [this, aHost, life] {
-      if (IsUp(aHost, life)) {
-        mHosts[aHost].mCallsStore = false;
-        mHosts[aHost].mKeeper->StoreFailed(StoreFailure::NoAnswer,
-                                           mEvents.Now());
-        Turn(aHost);
-      }
+    const Waiting lost{aHost, life, 0, 0};
+    mEvents.After(timeout,
+                  [this, lost] { StoreFailed(lost, StoreFailure::NoAnswer); });
+    return;
+  }
+  if (watch != nullptr && watch->mAfter < mHistoryFrom) {
+    const Waiting gone{aHost, life, 0, 0};
+    mEvents.After(kStoreDelay, [this, gone] {
+      StoreFailed(gone, StoreFailure::HistoryGone);
     });
     return;
   }
-  if (watch != nullptr && mLog.back().mRevision <= watch->mAfter) {
+  if (watch != nullptr && mRevision <= watch->mAfter) {
     const Waiting waiting{aHost, life, watch->mAfter, ++mLastWatch};
     mWaiting.push_back(waiting);
     mEvents.After(watch->mWait, [this, waiting] { EndWatch(waiting); });
@@ -243,12 +279,8 @@
                                   });
   if (found == mWaiting.end()) {
     // It was answered, or its answer was lost.
-    if (IsUp(aWaiting.mHost, aWaiting.mLife) &&
-        mHosts[aWaiting.mHost].mCallsStore) {
-      mHosts[aWaiting.mHost].mCallsStore = false;
-      mHosts[aWaiting.mHost].mKeeper->StoreFailed(StoreFailure::NoAnswer,
-                                                  mEvents.Now());
-      Turn(aWaiting.mHost);
+    if (mHosts[aWaiting.mHost].mCallsStore) {
+      StoreFailed(aWaiting, StoreFailure::NoAnswer);
     }
     return;
   }
@@ -264,12 +296,7 @@
   if (mStoreDown || host.mCutFromStore) {
     // The answer is lost; its receiver gives up a little later.
     mEvents.After(kWatchSlack, [this, aWaiting] {
-      if (IsUp(aWaiting.mHost, aWaiting.mLife)) {
-        mHosts[aWaiting.mHost].mCallsStore = false;
-        mHosts[aWaiting.mHost].mKeeper->StoreFailed(StoreFailure::NoAnswer,
-                                                    mEvents.Now());
-        Turn(aWaiting.mHost);
-      }
+      StoreFailed(aWaiting, StoreFailure::NoAnswer);
     });
     return;
   }
@@ -279,14 +306,24 @@
   Took(aWaiting.mHost, !news.empty(), true);
 }
 
+void GossipFleet::StoreFailed(const Waiting& aWaiting, StoreFailure aFailure) {
+  if (!IsUp(aWaiting.mHost, aWaiting.mLife)) {
+    return;
+  }
+  Host& host = mHosts[aWaiting.mHost];
+  host.mCallsStore = false;
+  host.mKeeper->StoreFailed(aFailure, mEvents.Now());
+  Turn(aWaiting.mHost);
+}
+
 void GossipFleet::Took(std::size_t aHost, bool aNews, bool aFromStore) {
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
   host.mGossip->SetView(host.mKeeper->Summary(now));
   if (aNews && aFromStore) {
-    Send(aHost, host.mGossip->Announce({}, now));
+    Send(aHost, host.mGossip->TellView(true));
   } else if (aNews && host.mGossip->RelaysNews()) {
-    Send(aHost, host.mGossip->AnnounceNearby(now));
+    Send(aHost, host.mGossip->TellView(false));
   }
   Turn(aHost);
 }
@@ -298,26 +335,49 @@
                        !mHosts[peer].mCutFromHosts &&
                        !mHosts[aHost].mCutFromHosts;
   if (!reaches) {
-    mEvents.After(kPullTimeout, [this, aHost, life] {
-      if (IsUp(aHost, life)) {
-        mHosts[aHost].mKeeper->Pulled(std::nullopt, std::nullopt,
-                                      mEvents.Now());
-      }
-    });
+    mEvents.After(kPullTimeout,
+                  [this, aHost, life] { PullFailed(aHost, life); });
+    return;
+  }
+  const TimePoint now = mEvents.Now();
+  ViewKeeper& source = *mHosts[peer].mKeeper;
+  const auto offered = source.Offer(aPull.mAfter, now);
+  if (!offered) {
+    mEvents.After(2 * kHostDelay,
+                  [this, aHost, life] { PullFailed(aHost, life); });
+    return;
+  }
+  const auto age = source.Summary(now).mAge;
+  // Answers of one host follow each other on its link.
+  TimePoint& busyUntil = mHosts[peer].mLinkBusyUntil;
+  const std::chrono::duration<double> sending(
+      static_cast<double>(SizeOf(*offered)) / mBytesPerSecond);
+  busyUntil = std::max<TimePoint>(busyUntil, now) +
+              std::chrono::duration_cast<Duration>(sending);
+  const TimePoint arrives = busyUntil + 2 * kHostDelay;
+  if (arrives - now > kPullTimeout) {
+    mEvents.After(kPullTimeout,
+                  [this, aHost, life] { PullFailed(aHost, life); });
     return;
   }
-  mEvents.After(2 * kHostDelay, [this, aHost, peer, life, aPull] {
-    if (!IsUp(aHost, life) || mHosts[peer].mKeeper == nullptr) {
-      return;
+  mEvents.At(arrives, [this, aHost, life, delta = *offered, age] {
+    if (IsUp(aHost, life)) {
+      const auto news =
+          mHosts[aHost].mKeeper->Pulled(delta, age, mEvents.Now());
+      Act(aHost, mHosts[aHost].mKeeper->PullElsewhere());
+      Took(aHost, !news.empty(), false);
     }
-    const ViewKeeper& source = *mHosts[peer].mKeeper;
-    const auto news = mHosts[aHost].mKeeper->Pulled(
-        source.View().Since(aPull.mAfter), source.Summary(mEvents.Now()).mAge,
-        mEvents.Now());
-    Took(aHost, !news.empty(), false);
   });
 }
 
+void GossipFleet::PullFailed(std::size_t aHost, std::uint64_t aLife) {
+  if (IsUp(aHost, aLife)) {
+    ViewKeeper& keeper = *mHosts[aHost].mKeeper;
+    keeper.Pulled(std::nullopt, std::nullopt, mEvents.Now());
+    Act(aHost, keeper.PullElsewhere());
+  }
+}
+
 bool GossipFleet::Knows(std::size_t aHost, std::uint64_t aRevision) const {
   return mHosts[aHost].mAlive &&
          mHosts[aHost].mKeeper->View().Newest() >= aRevision;
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -22,8 +22,15 @@
               std::uint32_t aSeed);
 
   void Run(Duration aTime);
-  /** Changes the store; the revision of the change. */
-  std::uint64_t Publish();
+  /** Changes the store; the revision of the change.
+   * @param aBytes size of the value that is written. */
+  std::uint64_t Publish(std::size_t aBytes = 8);
+  /** Writes that many keys more. */
+  void Fill(std::size_t aKeys, std::size_t aBytes);
+  /** The store forgets what led to its present content. */
+  void DropHistory();
+  /** What one host can send to others in a second; the rest waits. */
+  void SetBytesPerSecond(double aBytes) { mBytesPerSecond = aBytes; }
   void Kill(std::size_t aHost);
   void Restart(std::size_t aHost);
   void Freeze(std::size_t aHost, bool aFrozen);
@@ -60,6 +67,8 @@
     std::uint64_t mLife = 0;
     bool mCallsStore = false;
     TimePoint mTurnAt;
+    /** Until when the answers that it has begun keep its link busy. */
+    TimePoint mLinkBusyUntil;
   };
   struct Waiting {
     std::size_t mHost = 0;
@@ -79,17 +88,22 @@
   void Act(std::size_t aHost, const ViewActions& aActions);
   void CallStore(std::size_t aHost, const ViewAction& aAction);
   void Pull(std::size_t aHost, const PullView& aPull);
+  void PullFailed(std::size_t aHost, std::uint64_t aLife);
   void AnswerWatch(const Waiting& aWaiting);
   void EndWatch(const Waiting& aWaiting);
   void Took(std::size_t aHost, bool aNews, bool aFromStore);
   [[nodiscard]] bool IsUp(std::size_t aHost, std::uint64_t aLife) const;
+  void StoreFailed(const Waiting& aWaiting, StoreFailure aFailure);
   [[nodiscard]] StoreDelta StoreSince(std::uint64_t aRevision) const;
 
   model::EventQueue mEvents;
   std::mt19937 mRandom;
   std::size_t mDataCentres;
   std::vector<Host> mHosts;
-  std::vector<StoreChange> mLog;
+  /** The keys in the order of their last writes. */
+  std::vector<StoreChange> mContent;
+  std::uint64_t mHistoryFrom = 0;
+  double mBytesPerSecond = 1e9;
   std::vector<Waiting> mWaiting;
   std::uint64_t mRevision = 1;
   std::uint64_t mLastWatch = 0;
--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -163,5 +163,40 @@
   }
 }
 
+/** The part of the bound that links may take; processors need the rest. */
+constexpr seconds kTransferBound{1};
+
+/** What the slowest links between hosts carry. */
+constexpr double kBytesPerSecond = 10e6 / 8;
+
+TEST_CASE("view: news of any size reaches a large fleet over slow links") {
+  struct Case {
+    std::string mWhat;
+    bool mDropsHistory;
+    std::size_t mBytes;
+  };
+  const std::vector<Case> cases = {
+      {"small news", false, 300},
+      {"350 routes more", false, 60'000},
+      {"small news just after the store dropped its history", true, 300},
+  };
+  for (const Case& one : cases) {
+    for (std::uint32_t seed = 20; seed < 24; ++seed) {
+      CAPTURE(one.mWhat);
+      CAPTURE(seed);
+      GossipFleet fleet(219, 4, seed);
+      fleet.Fill(300, 250);
+      fleet.SetBytesPerSecond(kBytesPerSecond);
+      fleet.Run(seconds(14));
+      if (one.mDropsHistory) {
+        fleet.DropHistory();
+        fleet.Run(milliseconds(10));
+      }
+      const std::uint64_t revision = fleet.Publish(one.mBytes);
+      CHECK(fleet.TimeUntilKnown(revision, kTransferBound, {}).has_value());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/core/test_store_view.cpp
+++ b/tests/core/test_store_view.cpp
@@ -139,5 +139,70 @@
   CHECK(ContentOf(behind) == store.Content());
 }
 
+/** A store with so many keys that a full copy is dear. */
+FakeStore MakeLargeStore() {
+  FakeStore store;
+  for (int number = 0; number < 300; ++number) {
+    store.Write("key" + std::to_string(number));
+  }
+  return store;
+}
+
+TEST_CASE("view: a host that read the store anew sends only what is missing") {
+  FakeStore store = MakeLargeStore();
+  StoreView ahead;
+  ahead.Apply(store.Read());
+  StoreView behind = ahead;
+  store.Write("key1");
+  store.Remove("key2");
+  ahead.Apply(store.Read());
+  const StoreDelta delta = ahead.Since(behind.AsOf());
+  CHECK_FALSE(delta.mFull);
+  CHECK(delta.mChanges.size() == 2);
+  behind.Apply(delta);
+  CHECK(ContentOf(behind) == store.Content());
+}
+
+TEST_CASE("view: what came and went unseen is made good by a full copy") {
+  // The host between the two reads knows a key that the one ahead never saw.
+  FakeStore store = MakeLargeStore();
+  StoreView ahead;
+  ahead.Apply(store.Read());
+  StoreView passing = ahead;
+  StoreView between = ahead;
+  store.Write("brief");
+  between.Apply(store.Since(between.AsOf()));
+  store.Remove("brief");
+  ahead.Apply(store.Read());
+  // What a host passes on has the same gap as what it was given.
+  passing.Apply(ahead.Since(passing.AsOf()));
+  for (const StoreView* source : {&ahead, &passing}) {
+    StoreView behind = between;
+    const StoreDelta delta = source->Since(behind.AsOf());
+    CHECK(delta.mFull);
+    behind.Apply(delta);
+    CHECK(ContentOf(behind) == store.Content());
+  }
+}
+
+TEST_CASE("view: gaps beyond those remembered are made good by full copies") {
+  FakeStore store = MakeLargeStore();
+  StoreView ahead;
+  ahead.Apply(store.Read());
+  std::vector<StoreView> between;
+  for (int read = 0; read < 20; ++read) {
+    StoreView seen = ahead;
+    store.Write("brief" + std::to_string(read));
+    seen.Apply(store.Since(seen.AsOf()));
+    between.push_back(seen);
+    store.Remove("brief" + std::to_string(read));
+    ahead.Apply(store.Read());
+  }
+  for (StoreView& behind : between) {
+    behind.Apply(ahead.Since(behind.AsOf()));
+    CHECK(ContentOf(behind) == store.Content());
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -162,11 +162,12 @@
   }
   ViewTransfer transfer;
   transfer.mDelta =
-      StoreDelta{true, 12, {{"a", 3, "x"}, {"b", 4, std::nullopt}}};
+      StoreDelta{true, 12, {{"a", 3, "x"}, {"b", 4, std::nullopt}}, {{5, 9}}};
   const auto view = DecodeView(EncodeView(transfer));
   REQUIRE(view);
   CHECK(view->mDelta.mChanges[0].mValue == "x");
   CHECK_FALSE(view->mDelta.mChanges[1].mValue);
+  CHECK(view->mDelta.mGaps == transfer.mDelta.mGaps);
   CHECK_FALSE(view->mAge);
   CHECK_FALSE(DecodeView("{}"));
 }
