Fault soak: real programs, faulty links, signals, from a seed

What it is: tests/soak/soak.sh SEED starts five gateways, five endpoints and a store, with a link of its own before each endpoint and between each gateway and the store, and two stand-ins more: a link that delays, silences one way, refuses or resets connections, and a caller of published routes that keeps the directory's answers. From the seed it draws 24 overlapping faults: links, pauses, kills, stops, reloads, configurations, endpoints that start again at their address. It checks: no order ran twice, nothing ran that was said not to have run, no wrong answer, answers in time and service once healed, no new work for an endpoint that drains.

What endpoints ran is written to their logs as it begins, so a killed one counts too.

--- a/misc/gateway_fleet.sh
+++ b/misc/gateway_fleet.sh
@@ -34,6 +34,19 @@
   put "servers/$1" "$(entry "$1" "${endpoint_address[$1]}" "$2" ready 1000)"
 }
 
+# start_link NAME TARGET: a link that passes connections on to an address and
+# can be made faulty. link_fault NAME JSON, reset_link NAME: harm it.
+declare -A link_address=() link_control=()
+start_link() {
+  link_address[$1]="127.0.0.1:$(free_port)"
+  link_control[$1]="127.0.0.1:$(free_port)"
+  start "link-$1" papayawheel-standin-faulty-link --target "$2" \
+    --address "${link_address[$1]}" --control "${link_control[$1]}"
+  wait_for 5 is_up "${link_control[$1]}"
+}
+link_fault() { request PUT "${link_control[$1]}/fault" "$2" >/dev/null; }
+reset_link() { request PUT "${link_control[$1]}/reset" '{}' >/dev/null; }
+
 declare -A front=() control=() ready=() directory=()
 start_gateway() {
   local ip="127.0.0.$((10 + $2))"
@@ -44,7 +57,7 @@
   start "$1" papayawheel-gateway --settings-file "$work/$1.settings"
 }
 
-# settings_of NAME NUMBER: writes the settings file of a gateway.
+# settings_of NAME NUMBER [STORE]: writes the settings file of a gateway.
 settings_of() {
   local ip="127.0.0.$((10 + $2))"
   cat >"$work/$1.settings" <<SETTINGS
@@ -56,7 +69,7 @@
 control-address = $ip:$control_port
 gossip-port = $gossip_port
 seeds = 127.0.0.11:$control_port,127.0.0.12:$control_port
-store = $store
+store = ${3:-$store}
 SETTINGS
 }
 
--- /dev/null
+++ b/standins/faulty_link_main.cpp
@@ -0,0 +1,270 @@
+// A stand-in for a faulty network: passes TCP connections on to one address and
+// delays, silences, refuses or resets them as its control address is told.
+#include <fmt/format.h>
+
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "core/config/address.h"
+#include "drivers/http_server.h"
+#include "drivers/log.h"
+#include "drivers/program_settings.h"
+#include "servers/query.h"
+
+namespace {
+
+using namespace papayawheel;
+using Json = nlohmann::json;
+using asio::ip::tcp;
+
+constexpr int kBadRequest = 400;
+
+/** What befalls all connections of the link. */
+struct LinkFaults {
+  /** Each piece of data is held back for so long. */
+  std::chrono::milliseconds mDelay{0};
+  /** Data on its way to the target is held back for good. */
+  bool mSilentThere = false;
+  /** The same for data that comes from the target. */
+  bool mSilentBack = false;
+  /** New connections are reset at once. */
+  bool mRefuses = false;
+};
+
+/** One connection and the one behind it. */
+class LinkConnection : public std::enable_shared_from_this<LinkConnection> {
+ public:
+  LinkConnection(tcp::socket aNear, const LinkFaults& aFaults)
+      : mNear(std::move(aNear)),
+        mFar(mNear.get_executor()),
+        mFaults(aFaults),
+        mThere{mNear, mFar, asio::steady_timer(mNear.get_executor()), {}},
+        mBack{mFar, mNear, asio::steady_timer(mNear.get_executor()), {}} {}
+
+  void Start(const tcp::endpoint& aTarget) {
+    mFar.async_connect(
+        aTarget, [self = shared_from_this()](const asio::error_code& aError) {
+          if (aError) {
+            self->Reset();
+            return;
+          }
+          self->Read(self->mThere);
+          self->Read(self->mBack);
+        });
+  }
+
+  /** Breaks both connections off, as a crash does. */
+  void Reset() {
+    for (tcp::socket* socket : {&mNear, &mFar}) {
+      asio::error_code ignored;
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+    mThere.mTimer.cancel();
+    mBack.mTimer.cancel();
+  }
+
+  [[nodiscard]] bool IsOpen() const { return mNear.is_open(); }
+
+ private:
+  static constexpr std::size_t kPiece = 16'384;
+  /** How often held data looks whether it may go on. */
+  static constexpr std::chrono::milliseconds kHeldPause{20};
+
+  struct Direction {
+    tcp::socket& mFrom;
+    tcp::socket& mTo;
+    asio::steady_timer mTimer;
+    std::array<char, kPiece> mPiece;
+  };
+
+  void Read(Direction& aDirection) {
+    aDirection.mFrom.async_read_some(
+        asio::buffer(aDirection.mPiece),
+        [self = shared_from_this(), &aDirection](const asio::error_code& aError,
+                                                 std::size_t aBytes) {
+          if (aError) {
+            self->End(aDirection);
+          } else {
+            self->Hold(aDirection, aBytes, self->mFaults.mDelay);
+          }
+        });
+  }
+
+  void Hold(Direction& aDirection, std::size_t aBytes,
+            std::chrono::milliseconds aTime) {
+    aDirection.mTimer.expires_after(aTime);
+    aDirection.mTimer.async_wait([self = shared_from_this(), &aDirection,
+                                  aBytes](const asio::error_code& aError) {
+      if (aError) {
+        return;
+      }
+      if (self->IsSilent(aDirection)) {
+        self->Hold(aDirection, aBytes, kHeldPause);
+      } else {
+        self->Write(aDirection, aBytes);
+      }
+    });
+  }
+
+  void Write(Direction& aDirection, std::size_t aBytes) {
+    asio::async_write(
+        aDirection.mTo, asio::buffer(aDirection.mPiece.data(), aBytes),
+        [self = shared_from_this(), &aDirection](const asio::error_code& aError,
+                                                 std::size_t /*aBytes*/) {
+          if (aError) {
+            self->Reset();
+          } else {
+            self->Read(aDirection);
+          }
+        });
+  }
+
+  void End(Direction& aDirection) {
+    if (IsSilent(aDirection)) {
+      // The end of a connection does not pass a silent link either.
+      aDirection.mTimer.expires_after(kHeldPause);
+      aDirection.mTimer.async_wait([self = shared_from_this(), &aDirection](
+                                       const asio::error_code& aError) {
+        if (!aError) {
+          self->End(aDirection);
+        }
+      });
+      return;
+    }
+    asio::error_code ignored;
+    mNear.close(ignored);
+    mFar.close(ignored);
+    mThere.mTimer.cancel();
+    mBack.mTimer.cancel();
+  }
+
+  [[nodiscard]] bool IsSilent(const Direction& aDirection) const {
+    return &aDirection == &mThere ? mFaults.mSilentThere : mFaults.mSilentBack;
+  }
+
+  tcp::socket mNear;
+  tcp::socket mFar;
+  const LinkFaults& mFaults;
+  Direction mThere;
+  Direction mBack;
+};
+
+class Link {
+ public:
+  Link(asio::io_context& aContext, tcp::endpoint aTarget)
+      : mContext(aContext), mAcceptor(aContext), mTarget(std::move(aTarget)) {}
+
+  std::optional<std::string> Listen(const tcp::endpoint& aAddress) {
+    asio::error_code error;
+    mAcceptor.open(aAddress.protocol(), error);
+    mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    mAcceptor.bind(aAddress, error);
+    if (!error) {
+      mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      return error.message();
+    }
+    Accept();
+    return std::nullopt;
+  }
+
+  /** PUT /fault with the faults that are wanted from now on, PUT /reset. */
+  void Control(const HttpExchangePtr& aExchange) {
+    HttpReply reply;
+    const std::string path = PathOf(aExchange->Target());
+    const Json body = Json::parse(aExchange->Body(), nullptr, false);
+    if (path == "/reset") {
+      for (const auto& connection : mConnections) {
+        connection->Reset();
+      }
+    } else if (path == "/fault" && body.is_object()) {
+      mFaults.mDelay = std::chrono::milliseconds(body.value("delay_ms", 0));
+      mFaults.mSilentThere = body.value("silent_there", false);
+      mFaults.mSilentBack = body.value("silent_back", false);
+      mFaults.mRefuses = body.value("refuses", false);
+    } else {
+      reply.mStatus = kBadRequest;
+    }
+    aExchange->Reply(reply);
+  }
+
+ private:
+  void Accept() {
+    mAcceptor.async_accept(
+        [this](const asio::error_code& aError, tcp::socket aSocket) {
+          if (!aError) {
+            Take(std::move(aSocket));
+          }
+          Accept();
+        });
+  }
+
+  void Take(tcp::socket aSocket) {
+    std::erase_if(mConnections,
+                  [](const auto& aOne) { return !aOne->IsOpen(); });
+    const auto connection =
+        std::make_shared<LinkConnection>(std::move(aSocket), mFaults);
+    if (mFaults.mRefuses) {
+      connection->Reset();
+      return;
+    }
+    mConnections.insert(connection);
+    connection->Start(mTarget);
+  }
+
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  tcp::endpoint mTarget;
+  LinkFaults mFaults;
+  std::set<std::shared_ptr<LinkConnection>> mConnections;
+};
+
+tcp::endpoint ToEndpoint(const std::string& aAddress) {
+  const Address address = *ParseAddress(aAddress);
+  return tcp::endpoint(asio::ip::make_address(address.mIp), address.mPort);
+}
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  ProgramSettings settings("papayawheel-standin-faulty-link",
+                           "stands in for a faulty network");
+  settings.Add("address", std::nullopt, "IP number and port to listen on",
+               CheckAddress);
+  settings.Add("target", std::nullopt, "where connections are passed on to",
+               CheckAddress);
+  settings.Add("control", std::nullopt, "IP number and port for its faults",
+               CheckAddress);
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  asio::io_context context(1);
+  Link link(context, ToEndpoint(settings.Text("target")));
+  if (const auto reason = link.Listen(ToEndpoint(settings.Text("address")))) {
+    Log(LogLevel::Error, "cannot_listen", {{"reason", *reason}});
+    return kExitFailure;
+  }
+  const Address control = *ParseAddress(settings.Text("control"));
+  HttpServerSettings serverSettings;
+  serverSettings.mIp = control.mIp;
+  serverSettings.mPort = control.mPort;
+  HttpServer server(
+      context, serverSettings,
+      [&](const HttpExchangePtr& aExchange) { link.Control(aExchange); });
+  if (!server.Start()) {
+    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
+    return kExitFailure;
+  }
+  context.run();
+  return kExitOk;
+}
--- /dev/null
+++ b/standins/route_caller_main.cpp
@@ -0,0 +1,204 @@
+// A stand-in for callers of published routes: asks which hosts to use, keeps
+// the answer for as long as it may, sends open-loop load and prints one line
+// for each request with what became of it.
+#include <fmt/format.h>
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdio>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "drivers/http_client.h"
+#include "drivers/program_settings.h"
+#include "platform/names.h"
+
+namespace {
+
+using namespace papayawheel;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
+
+constexpr int kOk = 200;
+
+/** How much longer than its patience a caller listens, to tell late answers
+ * from none. */
+constexpr milliseconds kListenLonger{2000};
+
+/** Pause after a question that brought no addresses. */
+constexpr milliseconds kAskAgain{100};
+
+struct Sent {
+  std::string mId;
+  std::string mMethod;
+  std::string mTarget;
+  std::string mBody;
+  SteadyClock::time_point mAt;
+};
+
+class RouteCaller {
+ public:
+  RouteCaller(asio::io_context& aContext, const ProgramSettings& aSettings)
+      : mContext(aContext),
+        mSettings(aSettings),
+        mClient(aContext),
+        mArrivals(aContext),
+        mRefresh(aContext),
+        mRandom(static_cast<std::uint32_t>(aSettings.Number("seed"))),
+        mDirectories(aSettings.List("directories")) {}
+
+  void Start() { Ask(); }
+
+ private:
+  void Ask() {
+    HttpCall call;
+    call.mAddress = mDirectories[mNextDirectory++ % mDirectories.size()];
+    call.mTarget = "/resolve?name=shop.example&region=r&zone=" +
+                   mSettings.Text("data-centre");
+    mClient.Send(call,
+                 [this](const HttpResult& aResult) { TakeHosts(aResult); });
+  }
+
+  void TakeHosts(const HttpResult& aResult) {
+    std::chrono::duration<double> next = kAskAgain;
+    const Json answer = Json::parse(aResult.mBody, nullptr, false);
+    if (aResult.mKind == HttpResultKind::Answered && aResult.mStatus == kOk &&
+        answer.is_object() && !answer["addresses"].empty()) {
+      mHosts = answer["addresses"].get<std::vector<std::string>>();
+      next = std::chrono::duration<double>(answer["ttl-s"].get<double>());
+      Begin();
+    }
+    mRefresh.expires_after(
+        std::chrono::duration_cast<SteadyClock::duration>(next));
+    mRefresh.async_wait([this](asio::error_code aError) {
+      if (!aError && !mDone) {
+        Ask();
+      }
+    });
+  }
+
+  void Begin() {
+    if (mEnd) {
+      return;
+    }
+    mNextArrival = SteadyClock::now();
+    mEnd = mNextArrival + milliseconds(mSettings.Number("duration-ms"));
+    ScheduleNext();
+  }
+
+  void ScheduleNext() {
+    std::exponential_distribution<double> gap(
+        static_cast<double>(mSettings.Number("rate")));
+    mNextArrival += std::chrono::duration_cast<SteadyClock::duration>(
+        std::chrono::duration<double>(gap(mRandom)));
+    if (mNextArrival >= *mEnd) {
+      mDone = true;
+      mRefresh.cancel();
+      StopWhenDone();
+      return;
+    }
+    mArrivals.expires_at(mNextArrival);
+    mArrivals.async_wait([this](asio::error_code) {
+      SendOne();
+      ScheduleNext();
+    });
+  }
+
+  void SendOne() {
+    std::uniform_int_distribution<std::int64_t> percent(0, 99);
+    const bool order = percent(mRandom) < mSettings.Number("order-percent");
+    Sent sent;
+    sent.mId = fmt::format("{}-{}", mSettings.Text("name"), ++mNumber);
+    sent.mMethod = order ? "POST" : "GET";
+    sent.mTarget = (order ? "/order/" : "/read/") + sent.mId;
+    sent.mBody = order ? "body-of-" + sent.mId : "";
+    sent.mAt = SteadyClock::now();
+    HttpCall call;
+    std::uniform_int_distribution<std::size_t> host(0, mHosts.size() - 1);
+    call.mAddress = mHosts[host(mRandom)];
+    call.mMethod = sent.mMethod;
+    call.mTarget = sent.mTarget;
+    call.mBody = sent.mBody;
+    call.mTimeout =
+        milliseconds(mSettings.Number("deadline-ms")) + kListenLonger;
+    call.mHeaders = {{"Host", "shop.example"},
+                     {std::string(platform::kRequestIdHeader), sent.mId},
+                     {std::string(platform::kTimeLeftHeader),
+                      fmt::format("{}", mSettings.Number("deadline-ms"))}};
+    ++mInFlight;
+    mClient.Send(call, [this, sent](const HttpResult& aResult) {
+      --mInFlight;
+      Report(sent, aResult);
+      StopWhenDone();
+    });
+  }
+
+  /** Prints id, method, status or how the request ended without one, whether
+   * the answer is what the request asked for, and milliseconds taken. */
+  static void Report(const Sent& aSent, const HttpResult& aResult) {
+    const auto took = std::chrono::duration_cast<milliseconds>(
+        SteadyClock::now() - aSent.mAt);
+    const bool answered = aResult.mKind == HttpResultKind::Answered;
+    const std::string expected =
+        fmt::format(" {} {} {}\n", aSent.mMethod, aSent.mTarget, aSent.mBody);
+    const bool isWhole = aResult.mBody.ends_with(expected);
+    const bool isRight = !answered || aResult.mStatus != kOk || isWhole;
+    fmt::print("request={} method={} status={} right={} took_ms={}\n",
+               aSent.mId, aSent.mMethod, answered ? aResult.mStatus : 0,
+               isRight ? 1 : 0, took.count());
+    std::fflush(stdout);
+  }
+
+  void StopWhenDone() {
+    if (mDone && mInFlight == 0) {
+      mContext.stop();
+    }
+  }
+
+  asio::io_context& mContext;
+  const ProgramSettings& mSettings;
+  HttpClient mClient;
+  asio::steady_timer mArrivals;
+  asio::steady_timer mRefresh;
+  std::mt19937 mRandom;
+  std::vector<std::string> mDirectories;
+  std::size_t mNextDirectory = 0;
+  std::vector<std::string> mHosts;
+  std::uint64_t mNumber = 0;
+  std::size_t mInFlight = 0;
+  bool mDone = false;
+  SteadyClock::time_point mNextArrival;
+  std::optional<SteadyClock::time_point> mEnd;
+};
+
+}  // namespace
+
+int main(int aCount, char** aArguments) {
+  constexpr std::int64_t kMostRate = 100'000;
+  constexpr std::int64_t kMostMillis = 3'600'000;
+  ProgramSettings settings("papayawheel-standin-route-caller",
+                           "sends load to published routes");
+  settings.Add("directories", std::nullopt, "addresses to ask for hosts",
+               CheckAddressList);
+  settings.Add("name", "caller", "begins the requests' ids", CheckName);
+  settings.Add("data-centre", "brasov", "data centre of the caller", CheckName);
+  settings.AddNumber("rate", 50, 1, kMostRate, "requests per second");
+  settings.AddNumber("duration-ms", 1000, 1, kMostMillis, "length of the load");
+  settings.AddNumber("order-percent", 50, 0, 100,
+                     "share of requests that are not idempotent");
+  settings.AddNumber("deadline-ms", 1000, 1, kMostMillis,
+                     "patience per request");
+  settings.AddNumber("seed", 1, 1, 1'000'000'000, "seed of the load");
+  if (const auto code = settings.Parse(aCount, aArguments)) {
+    return *code;
+  }
+  asio::io_context context(1);
+  RouteCaller caller(context, settings);
+  caller.Start();
+  context.run();
+  return kExitOk;
+}
--- a/standins/route_endpoint_main.cpp
+++ b/standins/route_endpoint_main.cpp
@@ -5,6 +5,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
+#include <cstdio>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -64,6 +65,13 @@
     }
     ++mRunning;
     ++mRuns[*id];
+    // The line outlives the process, so a check knows also what was run by one
+    // that was killed.
+    const auto now = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    fmt::print("run={} method={} endpoint={} at_ms={}\n", *id,
+               aExchange->Method(), mId, now.count());
+    std::fflush(stdout);
     const auto timer = std::make_shared<asio::steady_timer>(mContext, mWork);
     timer->async_wait([this, timer, aExchange](asio::error_code) {
       --mRunning;
--- /dev/null
+++ b/tests/soak/soak.sh
@@ -0,0 +1,190 @@
+#!/usr/bin/env bash
+# soak.sh SEED [STEPS]: real programs under load while faults, drawn from the
+# seed, befall them from outside; they overlap and come in series. It checks
+# what callers and endpoints saw, then heals everything and checks that the
+# fleet recovers. Prints the faults in order; the seed draws them again.
+set -euo pipefail
+seed="$1" steps="${2:-24}"
+source "$(dirname "$0")/../../misc/fleet.sh"
+source "$(dirname "$0")/../../misc/gateway_fleet.sh"
+RANDOM="$seed"
+gateway_count=5
+deadline_ms=1500
+draw() { drawn=$((RANDOM % $1)); }
+now_ms() { date +%s%3N; }
+
+# --- the fleet: each gateway reaches the store, and each endpoint is reached,
+# over a link of its own
+front_port=$(free_port) ready_port=$(free_port) directory_port=$(free_port)
+control_port=$(free_port) gossip_port=$(free_port)
+start_store
+version=7
+put op/config "$(configuration "$version" catalogue)"
+declare -A service_of=([o1]=orders [o2]=orders [o3]=orders [c1]=catalogue [c2]=catalogue)
+declare -A born_of=()
+endpoints=(o1 o2 o3 c1 c2)
+publish_endpoint() { # NAME STATE
+  put "servers/$1" "$(entry "$1" "${link_address[$1]}" "${service_of[$1]}" "$2" "${born_of[$1]}")"
+}
+start_endpoint() { # NAME
+  start "$1" papayawheel-standin-route-endpoint --id "$1" \
+    --address "${endpoint_address[$1]}" --slots 8
+  wait_for 5 is_up "${endpoint_address[$1]}"
+  born_of[$1]=$((++births * 1000))
+  publish_endpoint "$1" ready
+}
+births=0
+for name in "${endpoints[@]}"; do
+  endpoint_address[$name]="127.0.0.1:$(free_port)"
+  start_link "$name" "${endpoint_address[$name]}"
+  start_endpoint "$name"
+done
+gateways=()
+for ((n = 1; n <= gateway_count; n++)); do
+  gateways+=("g$n")
+  start_link "store$n" "$store"
+  settings_of "g$n" "$n" "${link_address[store$n]}"
+  start_gateway "g$n" "$n"
+done
+for name in "${gateways[@]}"; do
+  wait_for 10 gateway_is_ready "$name"
+  wait_for 10 sees_others "$name" $((gateway_count - 1))
+done
+directories="$(IFS=,; echo "${directory[*]}")"
+
+# --- the load
+call() { # NAME MILLISECONDS SEED
+  "$bin/papayawheel-standin-route-caller" --directories "$directories" \
+    --name "$1" --rate 60 --duration-ms "$2" --deadline-ms "$deadline_ms" \
+    --seed "$3" >"$work/$1.calls"
+}
+call early $((steps * 700 + 4000)) "$((seed % 1000 + 1))" &
+caller=$!
+
+# --- the faults
+declare -A stopped=() leaving=()
+fault() {
+  draw "$gateway_count"
+  local number=$((drawn + 1))
+  local gateway="g$number"
+  draw "${#endpoints[@]}"
+  local endpoint="${endpoints[drawn]}"
+  draw 16
+  case "$drawn" in
+    0) echo "link of $endpoint delays"; link_fault "$endpoint" '{"delay_ms":200}' ;;
+    1) echo "link of $endpoint is silent there"; link_fault "$endpoint" '{"silent_there":true}' ;;
+    2) echo "link of $endpoint is silent back"; link_fault "$endpoint" '{"silent_back":true}' ;;
+    3) echo "link of $endpoint refuses and resets"; link_fault "$endpoint" '{"refuses":true}'; reset_link "$endpoint" ;;
+    4) echo "link of $endpoint resets"; reset_link "$endpoint" ;;
+    5) echo "link of $endpoint heals"; link_fault "$endpoint" '{}' ;;
+    6) echo "link from $gateway to the store is silent"
+      link_fault "store$number" '{"silent_there":true,"silent_back":true}' ;;
+    7) echo "link from $gateway to the store heals"; link_fault "store$number" '{}' ;;
+    8) echo "$gateway is paused"; pause "$gateway" ;;
+    9) echo "$endpoint is paused"; pause "$endpoint" ;;
+    10) resume_all ;;
+    11) restart_gateway "$gateway" "$number" KILL ;;
+    12) restart_gateway "$gateway" "$number" TERM ;;
+    13) echo "$gateway reloads"; kill -HUP "${pid_of[$gateway]}" ;;
+    14) change_configuration ;;
+    15) restart_endpoint "$endpoint" ;;
+  esac
+}
+pause() { kill -STOP "${pid_of[$1]}"; stopped[$1]=1; }
+resume_all() {
+  echo "all that were paused go on"
+  for name in "${!stopped[@]}"; do
+    kill -CONT "${pid_of[$name]}"
+  done
+  stopped=()
+}
+has_ended() { ! kill -0 "$1" 2>/dev/null; }
+restart_gateway() { # NAME NUMBER SIGNAL
+  echo "$1 gets $3 and starts again"
+  kill -CONT "${pid_of[$1]}"
+  unset "stopped[$1]"
+  kill "-$3" "${pid_of[$1]}"
+  wait_for 20 has_ended "${pid_of[$1]}"
+  start_gateway "$1" "$2"
+}
+restart_endpoint() { # NAME
+  echo "$1 is killed and starts again"
+  kill -KILL "${pid_of[$1]}"
+  unset "stopped[$1]"
+  wait_for 5 has_ended "${pid_of[$1]}"
+  start_endpoint "$1"
+}
+change_configuration() {
+  version=$((version + 1))
+  draw 2
+  local reads=catalogue
+  [ "$drawn" = 0 ] && reads=orders
+  echo "configuration $version: reads go to $reads"
+  put op/config "$(configuration "$version" "$reads")"
+}
+for ((step = 1; step <= steps; step++)); do
+  printf 'step %s: ' "$step"
+  fault
+  draw 7
+  sleep "0.$drawn"
+done
+
+# --- everything heals
+resume_all
+for name in "${!link_control[@]}"; do link_fault "$name" '{}'; done
+for name in "${endpoints[@]}"; do publish_endpoint "$name" ready; done
+change_configuration
+for name in "${gateways[@]}"; do
+  wait_for 10 gateway_is_ready "$name"
+  wait_for 3 gateway_knows "$name" "$version"
+done
+sleep 3
+call late 3000 7 &
+late=$!
+sleep 0.5
+publish_endpoint o1 draining
+sleep 2
+drained_at=$(now_ms)
+wait "$late" "$caller"
+
+# --- the checks
+cat "$work"/*.calls >"$work/calls"
+grep -h '^run=' "$work"/[oc][0-9].log >"$work/runs" || true
+echo "$(wc -l <"$work/calls") requests, $(wc -l <"$work/runs") runs, by status:" \
+  "$(sed 's/.*status=\([0-9]*\).*/\1/' "$work/calls" | sort | uniq -c | tr -s ' \n' ' ')"
+doubled="$(grep ' method=POST ' "$work/runs" | cut -d' ' -f1 | sort | uniq -d)"
+ran="$(cut -d' ' -f1 "$work/runs" | cut -d= -f2 | sort -u)"
+refused="$(grep -E 'status=(408|421|429|503) ' "$work/calls" | cut -d' ' -f1 | cut -d= -f2 | sort)"
+untrue="$(comm -12 <(echo "$ran") <(echo "$refused") | grep . || true)"
+wrong="$(grep 'right=0' "$work/calls" || true)"
+# A paused gateway answers when it goes on; others answer in time.
+late="$(awk -v most=$((deadline_ms + 500)) '/^request=late/ {
+  split($5, took, "="); if (took[2] > most) print }' "$work/calls")"
+served="$(grep -c '^request=late.*status=200' "$work/calls" || true)"
+all="$(grep -c '^request=late' "$work/calls")"
+after="$(awk -v from="$drained_at" '$3 == "endpoint=o1" {
+  split($4, at, "="); if (at[2] > from) print }' "$work/runs")"
+keep_findings() {
+  [ -n "${SOAK_KEEP:-}" ] || return 0
+  mkdir -p "$SOAK_KEEP/$seed"
+  cp "$work"/*.log "$work"/*.calls "$SOAK_KEEP/$seed/"
+}
+check() { # TEXT WHAT_IS_AGAINST_IT
+  if [ -n "$2" ]; then
+    echo "NOT HELD: $1"
+    echo "$2" | head -5
+    failed=1
+  else
+    echo "held: $1"
+  fi
+}
+failed=0
+check "no order ran twice" "$doubled"
+check "nothing ran that was said not to have run" "$untrue"
+check "no answer was wrong" "$wrong"
+check "every answer came in time once all was healed" "$late"
+check "a draining endpoint got no new work" "$after"
+check "requests are served once all was healed" \
+  "$([ "$((served * 100))" -ge "$((all * 97))" ] || echo "$served of $all")"
+[ "$failed" = 0 ] || { keep_findings; exit 1; }
+echo "seed $seed passed"
