Transfers between hosts are compressed and announced before they are decoded

Change: gzip by RESTinio's zlib transform where the client (libcurl) says it reads that; a host tells others of changes before it decodes them; the lines of the first load's endpoints, 300 a start, are for the debug level. HttpResult::mBytes counts what came over the wire.

--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -46,9 +46,9 @@
  * asked: a host that is cut off still serves its callers. */
 constexpr seconds kMostDistrust{3};
 
-/** What a host sends to others in a second, at least: slow links have 10
- * Mbit/s. */
-constexpr double kSentPerSecond = 10e6 / 8;
+/** Bytes that a host sends to others in a second, at least, before they are
+ * compressed to a third or less: slow links have 10 Mbit/s. */
+constexpr double kSentPerSecond = 3 * 10e6 / 8;
 
 /** Nothing more is offered while so much is being sent. A host that is refused
  * asks another that has it by then. */
--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -157,6 +157,9 @@
     curl_easy_setopt(handle, CURLOPT_OPENSOCKETDATA, this);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETFUNCTION, &Impl::OnClose);
     curl_easy_setopt(handle, CURLOPT_CLOSESOCKETDATA, this);
+    if (aCall.mAcceptsCompressed) {
+      curl_easy_setopt(handle, CURLOPT_ACCEPT_ENCODING, "gzip");
+    }
     if (aCall.mProbesPeer) {
       curl_easy_setopt(handle, CURLOPT_TCP_KEEPALIVE, 1L);
       curl_easy_setopt(handle, CURLOPT_TCP_KEEPIDLE, kProbeSeconds);
@@ -285,11 +288,13 @@
     transfer->mResult.mStatus = static_cast<int>(status);
     long sent = 0;
     long headers = 0;
+    curl_off_t received = 0;
     curl_easy_getinfo(aHandle, CURLINFO_REQUEST_SIZE, &sent);
     curl_easy_getinfo(aHandle, CURLINFO_HEADER_SIZE, &headers);
-    transfer->mResult.mBytes = static_cast<std::size_t>(sent + headers) +
-                               transfer->mBody.size() +
-                               transfer->mResult.mBody.size();
+    curl_easy_getinfo(aHandle, CURLINFO_SIZE_DOWNLOAD_T, &received);
+    transfer->mResult.mBytes =
+        static_cast<std::size_t>(sent + headers + received) +
+        transfer->mBody.size();
     transfer->mResult.mKind = transfer->KindOf(aCode);
     curl_multi_remove_handle(mMulti, aHandle);
     GiveBack(*transfer);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -27,6 +27,9 @@
   /** End the request soon when the other side can no longer be reached, even
    * while nothing is being sent. */
   bool mProbesPeer = false;
+  /** Let the other side compress its answer; mMaxAnswer counts the body as it
+   * is handed over. */
+  bool mAcceptsCompressed = false;
 };
 
 /** How a request ended. */
--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -3,11 +3,17 @@
 #include <exception>
 #include <restinio/all.hpp>
 #include <restinio/incoming_http_msg_limits.hpp>
+#include <restinio/transforms/zlib.hpp>
 #include <string_view>
 
 namespace papayawheel {
 namespace {
 
+/** Smaller bodies gain nothing from compression. */
+constexpr std::size_t kLeastCompressed = 1024;
+/** The quickest level of zlib: processors are small. */
+constexpr int kFastest = 1;
+
 constexpr std::size_t kMaxUrl = 8192;
 constexpr std::size_t kMaxFields = 100;
 constexpr std::size_t kMaxFieldValue = 8192;
@@ -105,11 +111,25 @@
     if (aReply.mClose) {
       response.connection_close();
     }
-    response.set_body(aReply.mBody);
+    const bool compresses = aReply.mMayCompress &&
+                            aReply.mBody.size() >= kLeastCompressed &&
+                            AcceptsGzip();
+    if (compresses) {
+      response.append_header("Content-Encoding", "gzip");
+      response.set_body(
+          restinio::transforms::zlib::gzip_compress(aReply.mBody, kFastest));
+    } else {
+      response.set_body(aReply.mBody);
+    }
     response.done();
   }
 
  private:
+  [[nodiscard]] bool AcceptsGzip() const {
+    const auto accepted = Header("Accept-Encoding");
+    return accepted && accepted->find("gzip") != std::string::npos;
+  }
+
   restinio::request_handle_t mRequest;
   bool mReplied = false;
 };
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -21,6 +21,8 @@
   std::string mBody;
   /** Close the connection after the answer. */
   bool mClose = false;
+  /** Compress the body if it is large and the other side can read that. */
+  bool mMayCompress = false;
 };
 
 /** One request that has arrived and its way back. It may be kept and answered
--- a/misc/install.sh
+++ b/misc/install.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build ccache clang-format clang-tidy curl git
   libasio-dev librestinio-dev libhttp-parser-dev libcurl4-openssl-dev
   libboost-dev libboost-program-options-dev libfmt-dev nlohmann-json3-dev
-  libxxhash-dev doctest-dev librapidcheck-dev
+  libxxhash-dev zlib1g-dev doctest-dev librapidcheck-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -266,6 +266,12 @@
   if (aChanges.empty()) {
     return;
   }
+  // Others fetch the changes while they are decoded here.
+  mGossip.SetView(mKeeper.Summary(now));
+  const bool fromStore = aSource == "watch" || aSource == "read";
+  if (fromStore || mGossip.RelaysNews()) {
+    Send(mGossip.TellView(fromStore));
+  }
   for (const StoreChange& change : aChanges) {
     if (platform::IsConfigurationKey(change.mKey)) {
       TakeConfiguration(change);
@@ -278,16 +284,9 @@
        {"changes", aChanges.size()},
        {"source", aSource}});
   PublishView();
-  mGossip.SetView(mKeeper.Summary(now));
   if (mRoutes != nullptr && mGossip.Self().mState == MemberState::Starting) {
     mGossip.SetState(MemberState::Ready);
   }
-  const bool fromStore = aSource == "watch" || aSource == "read";
-  if (fromStore) {
-    Send(mGossip.TellView(true));
-  } else if (mGossip.RelaysNews()) {
-    Send(mGossip.TellView(false));
-  }
 }
 
 void GatewayControl::TakeConfiguration(const StoreChange& aChange) {
@@ -328,7 +327,9 @@
     mRegistry.Remove(aId, false, now);
     return;
   }
-  Log(LogLevel::Info, "endpoint_published",
+  // What a start finds is said by view_changed alone: hundreds of lines would
+  // hold up a small host.
+  Log(mHasView ? LogLevel::Info : LogLevel::Debug, "endpoint_published",
       {{"endpoint", aId},
        {"address", decoded.mValue->mAddress},
        {"draining", decoded.mValue->mDraining},
@@ -337,6 +338,7 @@
 }
 
 void GatewayControl::PublishView() {
+  mHasView = true;
   auto view = std::make_shared<RoutingView>();
   view->mRoutes = mRoutes;
   view->mEndpoints = mRegistry.Endpoints();
@@ -370,6 +372,7 @@
         mKeeper.Offer(QueryNumber(aExchange->Target(), "after"), now);
     if (delta) {
       reply.mBody = EncodeView(ViewTransfer{*delta, mKeeper.Summary(now).mAge});
+      reply.mMayCompress = true;
     } else {
       reply.mStatus = kUnavailable;
     }
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -99,6 +99,8 @@
   std::shared_ptr<const RouteTable> mRoutes;
   std::uint64_t mSeenGeneration = 0;
   bool mWasTrusted = false;
+  /** A view was handed to the traffic thread. */
+  bool mHasView = false;
   bool mWasStoreFailing = false;
   HttpClient::Id mStoreCall = 0;
   TimePoint mLastTurn;
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -105,6 +105,7 @@
   call.mAddress = aPull.mAddress;
   call.mTarget = fmt::format("{}?after={}", kViewTransferPath, aPull.mAfter);
   call.mTimeout = kPullTimeout;
+  call.mAcceptsCompressed = true;
   mClient.Send(call, [this, peer = aPull.mAddress](const HttpResult& aResult) {
     const bool answered =
         aResult.mKind == HttpResultKind::Answered && aResult.mStatus == kOk;
