--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -260,10 +260,13 @@
   }
 }
 
-std::size_t EndpointPool::Usable(TimePoint aNow) const {
+std::size_t EndpointPool::Usable(const std::vector<std::string>& aExcluded,
+                                 TimePoint aNow) const {
   return static_cast<std::size_t>(std::count_if(
-      mEndpoints.begin(), mEndpoints.end(), [this, aNow](const auto& aEntry) {
-        return IsUsable(aEntry.second, aNow);
+      mEndpoints.begin(), mEndpoints.end(), [&](const auto& aEntry) {
+        const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
+                                        aEntry.first) != aExcluded.end();
+        return !excluded && IsUsable(aEntry.second, aNow);
       }));
 }
 
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -100,8 +100,9 @@
                 const std::optional<LoadSample>& aSample, Duration aWork,
                 TimePoint aSentAt, TimePoint aNow);
 
-  /** Endpoints that may be chosen now. */
-  [[nodiscard]] std::size_t Usable(TimePoint aNow) const;
+  /** Endpoints that may be chosen now, but for some. */
+  [[nodiscard]] std::size_t Usable(const std::vector<std::string>& aExcluded,
+                                   TimePoint aNow) const;
   [[nodiscard]] bool IsEmpty() const { return mEndpoints.empty(); }
 
  private:
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -64,7 +64,7 @@
   LeaveQueue(aId, aCall);
   aCall.mPurpose = aPurpose;
   aCall.mIfNotSent = aIfNotSent;
-  if (service.mPool.Usable(aNow) == 0) {
+  if (service.mPool.Usable({}, aNow) == 0) {
     GiveUp(aId, aCall,
            aCall.mTried.empty() ? ErrorKind::NoEndpoint : aIfNotSent, aActions);
     return;
@@ -92,7 +92,10 @@
 }
 
 Duration GatewayEngine::LongestWait(const Call& aCall) const {
-  if (aCall.mPurpose != Purpose::First) {
+  // One that was shed by the only endpoint waits for it like a first one.
+  const bool waitsAgain =
+      aCall.mPurpose == Purpose::Retry && aCall.mAvoided.empty();
+  if (aCall.mPurpose != Purpose::First && !waitsAgain) {
     return kLongestRepeatWait;
   }
   const Duration work = WorkOf(aCall.mRoute);
@@ -115,7 +118,7 @@
     const CallId id = waiting->mId;
     Call& call = mCalls.at(id);
     const auto choice =
-        service.mPool.Pick(call.mTried, WorkOf(call.mRoute), aNow);
+        service.mPool.Pick(call.mAvoided, WorkOf(call.mRoute), aNow);
     const bool good = choice && choice->mSlowdown < kGoodSlowdown &&
                       service.mPool.IsFresh(choice->mId, aNow);
     if (!good) {
@@ -152,7 +155,7 @@
   const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
                                       kLeastAsked, kMostAsked);
   const auto candidates = service.mPool.StaleCandidates(
-      first.mTried, WorkOf(first.mRoute), most, aNow);
+      first.mAvoided, WorkOf(first.mRoute), most, aNow);
   if (canAsk) {
     for (const EndpointPool::Candidate& candidate : candidates) {
       const ProbeId probe = ++mLastProbe;
@@ -206,7 +209,7 @@
   LeaveQueue(aId, aCall);
   ServiceState& service = ServiceOf(aCall.mService);
   const auto choice =
-      service.mPool.Pick(aCall.mTried, WorkOf(aCall.mRoute), aNow);
+      service.mPool.Pick(aCall.mAvoided, WorkOf(aCall.mRoute), aNow);
   const bool mayGo = aCall.mPurpose != Purpose::Hedge && choice &&
                      choice->mFill < kMostFill &&
                      aNow + choice->mExpected < aCall.mDeadline;
@@ -249,6 +252,7 @@
   mAttempts[attempt] = Attempt{aId, aChoice.mId, aNow, aChoice.mSlowdown};
   aCall.mRunning.push_back(attempt);
   aCall.mTried.push_back(aChoice.mId);
+  aCall.mAvoided.push_back(aChoice.mId);
   ServiceOf(aCall.mService).mPool.Sent(aChoice.mId, aNow);
   StartAttempt start;
   start.mAttempt = attempt;
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -213,6 +213,11 @@
       EndpointAnswered(attempt.mCall, call, aReply, aNow, actions);
       break;
     case AttemptResult::NotExecuted:
+      if (!call.mMayHaveRun && call.mRunning.empty() &&
+          ServiceOf(service).mPool.Usable(call.mAvoided, aNow) == 0) {
+        // No other is there, and it proved that it may be asked again.
+        call.mAvoided.clear();
+      }
       RetryOrFail(attempt.mCall, call, ErrorKind::Overloaded, aNow, actions);
       break;
     case AttemptResult::NotConnected:
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -110,6 +110,8 @@
     std::vector<AttemptId> mRunning;
     /** Endpoints that an attempt reached or may have reached. */
     std::vector<std::string> mTried;
+    /** Those of them that it is not sent to again. */
+    std::vector<std::string> mAvoided;
     std::uint32_t mUnreached = 0;
     /** An endpoint may have begun to run the request. */
     bool mMayHaveRun = false;
--- /dev/null
+++ b/misc/build_deployed.sh
@@ -0,0 +1,16 @@
+#!/usr/bin/env bash
+# Builds as the platform does, by the line of deploy/system.toml, and checks that
+# what the file names is there.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+value_of() { sed -n "s/^$1 = \"\(.*\)\"\$/\1/p" deploy/system.toml; }
+packages="$(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | tr -d '",')"
+[ -n "$packages" ]
+for package in $packages; do
+  grep -qw -- "$package" misc/install.sh ||
+    { echo "deploy/system.toml: package \"$package\" is not in misc/install.sh"; exit 1; }
+done
+[ -f "$(value_of template)" ]
+CMAKE_CXX_COMPILER_LAUNCHER=ccache bash -c "$(value_of build)"
+program="$(value_of run)"
+"${program%% *}" --version
--- a/misc/demo.sh
+++ b/misc/demo.sh
@@ -103,4 +103,5 @@
   echo "demo FAILED"
   exit 1
 fi
+bash misc/demo_gateway.sh
 echo "demo passed"
--- a/misc/test.sh
+++ b/misc/test.sh
@@ -4,5 +4,6 @@
 cd "$(dirname "$0")/.."
 misc/install.sh
 misc/build.sh
+misc/build_deployed.sh
 misc/lint.sh
 misc/run_tests.sh
--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -142,10 +142,10 @@
   EndpointMap entries = MakeEntries();
   EndpointPool pool = MakePool(entries);
   pool.NoteUnanswered("a", kStart);
-  CHECK(pool.Usable(kStart) == 3);
+  CHECK(pool.Usable({}, kStart) == 3);
   entries.at("a").mIncarnation = 7;
   pool.Configure(entries, "service", kStart);
-  CHECK(pool.Usable(kStart) == 4);
+  CHECK(pool.Usable({}, kStart) == 4);
 }
 
 TEST_CASE("endpoint pool: only old reports are asked for anew") {
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -277,6 +277,42 @@
   CHECK_FALSE(harness.Answers().contains(waits));
 }
 
+struct ShedCase {
+  const char* mWhat;
+  std::vector<std::size_t> mEndpoints;
+  /** Endpoint that the second attempt meets, seen from the first one's. */
+  bool mSame;
+};
+
+TEST_CASE("gateway: a request that was shed waits for the only endpoint") {
+  const std::vector<ShedCase> table = {
+      {"no other is there", {0}, true},
+      {"another is there", {0, 1}, false},
+  };
+  for (const ShedCase& row : table) {
+    for (const bool idempotent : {true, false}) {
+      CAPTURE(row.mWhat);
+      CAPTURE(idempotent);
+      GatewayHarness harness(2);
+      harness.Publish(row.mEndpoints);
+      const CallId call = harness.Ask(idempotent);
+      harness.AnswerProbes(true);
+      REQUIRE(harness.Running().size() == 1);
+      harness.End(0, AttemptResult::NotExecuted);
+      for (int wait = 0; wait < 12 && harness.Running().empty(); ++wait) {
+        harness.Advance(milliseconds(10));
+        harness.AnswerProbes(true);
+      }
+      REQUIRE(harness.Attempts().size() == 2);
+      const auto first = harness.Attempts().begin();
+      CHECK((std::next(first)->second.mEndpoint == first->second.mEndpoint) ==
+            row.mSame);
+      harness.End(0, AttemptResult::Answered);
+      CHECK(harness.Answers().at(call).mResponse != nullptr);
+    }
+  }
+}
+
 TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
   for (const bool idempotent : {true, false}) {
     GatewayHarness harness(2);
--- a/tests/process/soak_short.sh
+++ b/tests/process/soak_short.sh
@@ -1,3 +1,9 @@
 #!/usr/bin/env bash
-# A short run of the fault soak with a fixed seed.
-exec bash "$(dirname "$0")/../soak/soak.sh" 1 24
+# The fault soak with the seeds that are kept.
+set -euo pipefail
+cd "$(dirname "$0")/../soak"
+while read -r seed reason; do
+  [[ "$seed" == "#" ]] && continue
+  echo "seed $seed: $reason"
+  bash ./soak.sh "$seed"
+done <seeds.txt
