--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -1,7 +1,6 @@
 #include "core/gossip/gossip_engine.h"
 
 #include <algorithm>
-#include <bit>
 #include <tuple>
 #include <utility>
 
@@ -24,16 +23,6 @@
 
 /** How often one host passes a record on. */
 constexpr std::uint32_t kTellings = 6;
-constexpr std::size_t kRecordsPerMessage = 6;
-
-/** A fleet up to this size is told of news directly. */
-constexpr std::size_t kSmallFleet = 40;
-/** Hosts of each other data centre that a larger fleet is told through. */
-constexpr std::size_t kRelays = 4;
-/** The same for changes of the store, which those that were told fetch from
- * the host that told them, over a slow link. */
-constexpr std::size_t kViewRelays = 2;
-
 /** Hosts to whom a doubt is told. */
 constexpr std::size_t kDoubtsTold = 8;
 
@@ -292,98 +281,6 @@
   }
 }
 
-GossipMessage GossipEngine::Compose(GossipMessage::Kind aKind) {
-  GossipMessage message;
-  message.mKind = aKind;
-  message.mSender = mSelf;
-  message.mView = mView;
-  for (auto it = mNews.begin();
-       it != mNews.end() && message.mRecords.size() < kRecordsPerMessage;) {
-    const auto found = mMembers.find(it->first);
-    if (found != mMembers.end()) {
-      message.mRecords.push_back(found->second.mRecord);
-    }
-    it = found == mMembers.end() || --it->second == 0 ? mNews.erase(it)
-                                                      : std::next(it);
-  }
-  return message;
-}
-
-void GossipEngine::SendRoster(const std::string& aAddress,
-                              Datagrams& aDatagrams) {
-  GossipMessage message = Compose(GossipMessage::Kind::Notice);
-  message.mRecords.clear();
-  for (const auto& [name, member] : mMembers) {
-    if (!member.mReachable || member.mRecord.mGossipAddress == aAddress) {
-      continue;
-    }
-    message.mRecords.push_back(member.mRecord);
-    if (message.mRecords.size() == kRecordsPerMessage) {
-      aDatagrams.push_back(Datagram{aAddress, message});
-      message.mRecords.clear();
-    }
-  }
-  if (!message.mRecords.empty()) {
-    aDatagrams.push_back(Datagram{aAddress, message});
-  }
-}
-
-Datagrams GossipEngine::Announce(std::vector<EndpointCrash> aCrashes,
-                                 TimePoint /*aNow*/) {
-  Datagrams datagrams;
-  GossipMessage message = Compose(GossipMessage::Kind::Notice);
-  message.mCrashes = std::move(aCrashes);
-  std::vector<MemberRecord> others = Reachable();
-  std::shuffle(others.begin(), others.end(), mRandom);
-  std::map<std::string, std::size_t> relays;
-  for (const MemberRecord& other : others) {
-    const bool near = other.mDataCentre == mSelf.mDataCentre;
-    if (near || !RelaysNews() || relays[other.mDataCentre]++ < kRelays) {
-      datagrams.push_back(Datagram{other.mGossipAddress, message});
-    }
-  }
-  return datagrams;
-}
-
-Datagrams GossipEngine::TellView(bool aAfar) {
-  Datagrams datagrams;
-  const GossipMessage message = Compose(GossipMessage::Kind::Notice);
-  const auto tell = [&](const MemberRecord& aOther) {
-    datagrams.push_back(Datagram{aOther.mGossipAddress, message});
-  };
-  std::vector<MemberRecord> others = Reachable();
-  if (!RelaysNews()) {
-    std::for_each(others.begin(), others.end(), tell);
-    return datagrams;
-  }
-  const auto firstAfar = std::stable_partition(
-      others.begin(), others.end(), [this](const MemberRecord& aOther) {
-        return aOther.mDataCentre == mSelf.mDataCentre;
-      });
-  std::vector<MemberRecord> afar(firstAfar, others.end());
-  others.erase(firstAfar, others.end());
-  if (aAfar) {
-    std::shuffle(afar.begin(), afar.end(), mRandom);
-    std::map<std::string, std::size_t> told;
-    std::erase_if(afar, [&told](const MemberRecord& aOther) {
-      return ++told[aOther.mDataCentre] > kViewRelays;
-    });
-    std::for_each(afar.begin(), afar.end(), tell);
-  }
-  // Hosts at distances that double, the farthest first: each tells others the
-  // same way, so all are reached in as many steps as there are distances.
-  const std::size_t next = static_cast<std::size_t>(std::distance(
-      others.begin(), std::find_if(others.begin(), others.end(),
-                                   [this](const MemberRecord& aOther) {
-                                     return aOther.mName > mSelf.mName;
-                                   })));
-  for (std::size_t distance = std::bit_floor(others.size()); distance > 0;
-       distance /= 2) {
-    tell(others[(next + distance - 1) % others.size()]);
-  }
-  return datagrams;
-}
-
 Datagrams GossipEngine::Ask(const std::vector<std::string>& aNames,
                             TimePoint aNow) {
   Datagrams datagrams;
@@ -426,8 +323,6 @@
   return found->second.mRecord;
 }
 
-bool GossipEngine::RelaysNews() const { return mMembers.size() > kSmallFleet; }
-
 void GossipEngine::Forget(TimePoint aNow) {
   std::erase_if(mMembers, [aNow](const auto& aEntry) {
     return !aEntry.second.mReachable &&
--- /dev/null
+++ b/core/gossip/gossip_telling.cpp
@@ -0,0 +1,130 @@
+// The part of GossipEngine that decides what is told to whom.
+
+#include <algorithm>
+#include <bit>
+#include <map>
+#include <utility>
+
+#include "core/gossip/gossip_engine.h"
+
+namespace papayawheel {
+namespace {
+
+constexpr std::size_t kRecordsPerMessage = 6;
+
+/** A fleet up to this size is told of news directly. */
+constexpr std::size_t kSmallFleet = 40;
+/** Hosts of each other data centre that a larger fleet is told through. */
+constexpr std::size_t kRelays = 4;
+/** The same for changes of the store, which those that were told fetch from
+ * the host that told them, over a slow link. */
+constexpr std::size_t kViewRelays = 2;
+
+/** The first few hosts of each data centre. */
+std::vector<MemberRecord> ChooseRelays(std::vector<MemberRecord> aOthers) {
+  std::map<std::string, std::size_t> chosen;
+  std::erase_if(aOthers, [&chosen](const MemberRecord& aOther) {
+    return ++chosen[aOther.mDataCentre] > kViewRelays;
+  });
+  return aOthers;
+}
+
+/** Hosts at distances that double from one's own place in the order of names,
+ * the farthest first. If each tells others the same way, all are reached in as
+ * many steps as there are distances. */
+std::vector<MemberRecord> ChooseNear(const std::vector<MemberRecord>& aSorted,
+                                     const std::string& aSelf) {
+  const auto isAfter = [&aSelf](const MemberRecord& aOther) {
+    return aOther.mName > aSelf;
+  };
+  const auto next = static_cast<std::size_t>(std::distance(
+      aSorted.begin(), std::find_if(aSorted.begin(), aSorted.end(), isAfter)));
+  std::vector<MemberRecord> chosen;
+  for (std::size_t distance = std::bit_floor(aSorted.size()); distance > 0;
+       distance /= 2) {
+    chosen.push_back(aSorted[(next + distance - 1) % aSorted.size()]);
+  }
+  return chosen;
+}
+
+}  // namespace
+
+bool GossipEngine::RelaysNews() const { return mMembers.size() > kSmallFleet; }
+
+GossipMessage GossipEngine::Compose(GossipMessage::Kind aKind) {
+  GossipMessage message;
+  message.mKind = aKind;
+  message.mSender = mSelf;
+  message.mView = mView;
+  for (auto it = mNews.begin();
+       it != mNews.end() && message.mRecords.size() < kRecordsPerMessage;) {
+    const auto found = mMembers.find(it->first);
+    if (found != mMembers.end()) {
+      message.mRecords.push_back(found->second.mRecord);
+    }
+    it = found == mMembers.end() || --it->second == 0 ? mNews.erase(it)
+                                                      : std::next(it);
+  }
+  return message;
+}
+
+void GossipEngine::SendRoster(const std::string& aAddress,
+                              Datagrams& aDatagrams) {
+  GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  message.mRecords.clear();
+  for (const auto& [name, member] : mMembers) {
+    if (!member.mReachable || member.mRecord.mGossipAddress == aAddress) {
+      continue;
+    }
+    message.mRecords.push_back(member.mRecord);
+    if (message.mRecords.size() == kRecordsPerMessage) {
+      aDatagrams.push_back(Datagram{aAddress, message});
+      message.mRecords.clear();
+    }
+  }
+  if (!message.mRecords.empty()) {
+    aDatagrams.push_back(Datagram{aAddress, message});
+  }
+}
+
+Datagrams GossipEngine::Announce(std::vector<EndpointCrash> aCrashes,
+                                 TimePoint /*aNow*/) {
+  Datagrams datagrams;
+  GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  message.mCrashes = std::move(aCrashes);
+  std::vector<MemberRecord> others = Reachable();
+  std::shuffle(others.begin(), others.end(), mRandom);
+  std::map<std::string, std::size_t> relays;
+  for (const MemberRecord& other : others) {
+    const bool near = other.mDataCentre == mSelf.mDataCentre;
+    if (near || !RelaysNews() || relays[other.mDataCentre]++ < kRelays) {
+      datagrams.push_back(Datagram{other.mGossipAddress, message});
+    }
+  }
+  return datagrams;
+}
+
+Datagrams GossipEngine::TellView(bool aAfar) {
+  std::vector<MemberRecord> near = Reachable();
+  std::vector<MemberRecord> told = near;
+  if (RelaysNews()) {
+    const auto firstAfar = std::stable_partition(
+        near.begin(), near.end(), [this](const MemberRecord& aOther) {
+          return aOther.mDataCentre == mSelf.mDataCentre;
+        });
+    std::vector<MemberRecord> afar(firstAfar, near.end());
+    near.erase(firstAfar, near.end());
+    std::shuffle(afar.begin(), afar.end(), mRandom);
+    told = aAfar ? ChooseRelays(afar) : std::vector<MemberRecord>{};
+    const auto next = ChooseNear(near, mSelf.mName);
+    told.insert(told.end(), next.begin(), next.end());
+  }
+  Datagrams datagrams;
+  const GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  for (const MemberRecord& other : told) {
+    datagrams.push_back(Datagram{other.mGossipAddress, message});
+  }
+  return datagrams;
+}
+
+}  // namespace papayawheel
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -150,8 +150,8 @@
       transfer.mDelta.mChanges.push_back(ParseChange(change));
     }
     for (const Json& gap : document.at("gaps")) {
-      transfer.mDelta.mGaps.push_back(StoreGap{
-          gap.at(0).get<std::uint64_t>(), gap.at(1).get<std::uint64_t>()});
+      transfer.mDelta.mGaps.push_back(StoreGap{gap.at(0).get<std::uint64_t>(),
+                                               gap.at(1).get<std::uint64_t>()});
     }
     return transfer;
   } catch (const std::exception&) {
--- a/standins/faulty_link_main.cpp
+++ b/standins/faulty_link_main.cpp
@@ -161,7 +161,7 @@
 class Link {
  public:
   Link(asio::io_context& aContext, tcp::endpoint aTarget)
-      : mContext(aContext), mAcceptor(aContext), mTarget(std::move(aTarget)) {}
+      : mAcceptor(aContext), mTarget(std::move(aTarget)) {}
 
   std::optional<std::string> Listen(const tcp::endpoint& aAddress) {
     asio::error_code error;
@@ -222,7 +222,6 @@
     connection->Start(mTarget);
   }
 
-  asio::io_context& mContext;
   tcp::acceptor mAcceptor;
   tcp::endpoint mTarget;
   LinkFaults mFaults;
