--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -129,9 +129,22 @@
   Log(LogLevel::Info, "reloaded", {{"seeds", settings.Text("seeds")}});
 }
 
+/** Keeps the signals that the main thread waits for until it does, also those
+ * that arrive during the start. All threads inherit the mask. */
+sigset_t BlockSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP, SIGUSR1}) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
 }  // namespace
 
 int main(int aCount, char** aArguments) {
+  const sigset_t signals = BlockSignals();
   ProgramSettings settings(
       "papayawheel-gateway",
       "carries the requests of published routes on one entry host");
@@ -140,14 +153,6 @@
     return *code;
   }
   SetLogLevel(*LogLevelNamed(settings.Text("log-level")));
-  // All threads inherit the mask, so that only this one takes the signals.
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  sigaddset(&signals, SIGUSR1);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);  // NOLINT(bugprone-signal-handler)
 
   const SystemClock clock;
