--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -109,11 +109,8 @@
   stopped=()
 }
 # No program can hold a signal back before its main() has begun.
-holds_signals() {
-  local blocked
-  blocked="$(sed -n 's/^SigBlk:\t//p' "/proc/${pid_of[$1]}/status")"
-  [ $((16#$blocked & 1)) -eq 1 ]
-}
+starts_of() { grep -c event=started "$work/$1.log"; }
+has_started() { [ "$(starts_of "$1")" -gt "$2" ]; }
 has_ended() { ! kill -0 "$1" 2>/dev/null; }
 restart_gateway() { # NAME NUMBER SIGNAL
   echo "$1 gets $3 and starts again"
@@ -121,8 +118,10 @@
   unset "stopped[$1]"
   kill "-$3" "${pid_of[$1]}"
   wait_for 20 has_ended "${pid_of[$1]}"
+  local starts
+  starts="$(starts_of "$1")"
   start_gateway "$1" "$2"
-  wait_for 5 holds_signals "$1"
+  wait_for 5 has_started "$1" "$starts"
 }
 restart_endpoint() { # NAME
   echo "$1 is killed and starts again"
