Stand-ins share their server and their arrivals

Both callers drew exponential gaps and kept the end of the load by the same code: Arrivals, with the callers' generator, so a seed draws the same load.

--- a/standins/caller_main.cpp
+++ b/standins/caller_main.cpp
@@ -12,6 +12,7 @@
 #include "drivers/http_client.h"
 #include "drivers/program_settings.h"
 #include "servers/header_names.h"
+#include "standins/arrivals.h"
 
 namespace {
 
@@ -44,9 +45,10 @@
       : mContext(aContext),
         mSettings(aSettings),
         mClient(aContext),
-        mArrivals(aContext),
         mRefresh(aContext),
         mRandom(static_cast<std::uint32_t>(aSettings.Number("seed"))),
+        mArrivals(aContext, mRandom,
+                  static_cast<double>(aSettings.Number("rate"))),
         mEntries(aSettings.List("entries")) {}
 
   void Start() {
@@ -94,32 +96,14 @@
   }
 
   void BeginLoad() {
-    if (mBegun) {
-      return;
-    }
-    mBegun = true;
-    mEnd = SteadyClock::now() +
-           std::chrono::milliseconds(mSettings.Number("duration-ms"));
-    mNextArrival = SteadyClock::now();
-    ScheduleNext();
-  }
-
-  void ScheduleNext() {
-    const double rate = static_cast<double>(mSettings.Number("rate"));
-    const double gap = std::exponential_distribution<double>(rate)(mRandom);
-    mNextArrival += std::chrono::duration_cast<SteadyClock::duration>(
-        std::chrono::duration<double>(gap));
-    if (mNextArrival >= mEnd) {
-      mDone = true;
-      mRefresh.cancel();
-      StopWhenDone();
-      return;
-    }
-    mArrivals.expires_at(mNextArrival);
-    mArrivals.async_wait([this](asio::error_code) {
-      SendOne();
-      ScheduleNext();
-    });
+    mArrivals.Begin(
+        std::chrono::milliseconds(mSettings.Number("duration-ms")),
+        [this] { SendOne(); },
+        [this] {
+          mDone = true;
+          mRefresh.cancel();
+          StopWhenDone();
+        });
   }
 
   void SendOne() {
@@ -213,18 +197,15 @@
   asio::io_context& mContext;
   const ProgramSettings& mSettings;
   HttpClient mClient;
-  asio::steady_timer mArrivals;
   asio::steady_timer mRefresh;
   std::mt19937 mRandom;
+  Arrivals mArrivals;
   std::vector<std::string> mEntries;
   std::size_t mNextEntry = 0;
   std::vector<Choice> mChoices;
   Tally mTally;
   std::size_t mInFlight = 0;
-  bool mBegun = false;
   bool mDone = false;
-  SteadyClock::time_point mNextArrival;
-  SteadyClock::time_point mEnd;
 };
 
 double Quantile(std::vector<double> aValues, double aShare) {
--- a/standins/endpoint_main.cpp
+++ b/standins/endpoint_main.cpp
@@ -10,12 +10,11 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
-#include "core/config/address.h"
 #include "drivers/http_server.h"
-#include "drivers/log.h"
 #include "drivers/program_settings.h"
 #include "servers/header_names.h"
 #include "servers/query.h"
+#include "standins/stand_in_server.h"
 
 namespace {
 
@@ -243,7 +242,6 @@
   if (const auto code = settings.Parse(aCount, aArguments)) {
     return *code;
   }
-  const Address address = *ParseAddress(settings.Text("address"));
   asio::io_context context(1);
   Endpoint endpoint(
       context,
@@ -252,17 +250,8 @@
           static_cast<std::size_t>(settings.Number("queue")),
           std::chrono::microseconds(settings.Number("service-us")),
           std::chrono::milliseconds(settings.Number("cold-start-ms"))});
-  HttpServerSettings serverSettings;
-  serverSettings.mIp = address.mIp;
-  serverSettings.mPort = address.mPort;
-  HttpServer server(
-      context, serverSettings,
+  return ServeStandIn(
+      context, settings.Text("address"),
       [&](const HttpExchangePtr& aExchange) { endpoint.Take(aExchange); },
       [&](std::uint64_t aConnection) { endpoint.Closed(aConnection); });
-  if (!server.Start()) {
-    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
-    return kExitFailure;
-  }
-  context.run();
-  return kExitOk;
 }
--- a/standins/faulty_link_main.cpp
+++ b/standins/faulty_link_main.cpp
@@ -18,6 +18,7 @@
 #include "drivers/log.h"
 #include "drivers/program_settings.h"
 #include "servers/query.h"
+#include "standins/stand_in_server.h"
 
 namespace {
 
@@ -253,17 +254,7 @@
     Log(LogLevel::Error, "cannot_listen", {{"reason", *reason}});
     return kExitFailure;
   }
-  const Address control = *ParseAddress(settings.Text("control"));
-  HttpServerSettings serverSettings;
-  serverSettings.mIp = control.mIp;
-  serverSettings.mPort = control.mPort;
-  HttpServer server(
-      context, serverSettings,
+  return ServeStandIn(
+      context, settings.Text("control"),
       [&](const HttpExchangePtr& aExchange) { link.Control(aExchange); });
-  if (!server.Start()) {
-    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
-    return kExitFailure;
-  }
-  context.run();
-  return kExitOk;
 }
--- a/standins/route_caller_main.cpp
+++ b/standins/route_caller_main.cpp
@@ -7,7 +7,6 @@
 #include <asio/steady_timer.hpp>
 #include <cstdio>
 #include <nlohmann/json.hpp>
-#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -15,6 +14,7 @@
 #include "drivers/http_client.h"
 #include "drivers/program_settings.h"
 #include "platform/names.h"
+#include "standins/arrivals.h"
 
 namespace {
 
@@ -46,9 +46,10 @@
       : mContext(aContext),
         mSettings(aSettings),
         mClient(aContext),
-        mArrivals(aContext),
         mRefresh(aContext),
         mRandom(static_cast<std::uint32_t>(aSettings.Number("seed"))),
+        mArrivals(aContext, mRandom,
+                  static_cast<double>(aSettings.Number("rate"))),
         mDirectories(aSettings.List("directories")) {}
 
   void Start() { Ask(); }
@@ -82,30 +83,13 @@
   }
 
   void Begin() {
-    if (mEnd) {
-      return;
-    }
-    mNextArrival = SteadyClock::now();
-    mEnd = mNextArrival + milliseconds(mSettings.Number("duration-ms"));
-    ScheduleNext();
-  }
-
-  void ScheduleNext() {
-    std::exponential_distribution<double> gap(
-        static_cast<double>(mSettings.Number("rate")));
-    mNextArrival += std::chrono::duration_cast<SteadyClock::duration>(
-        std::chrono::duration<double>(gap(mRandom)));
-    if (mNextArrival >= *mEnd) {
-      mDone = true;
-      mRefresh.cancel();
-      StopWhenDone();
-      return;
-    }
-    mArrivals.expires_at(mNextArrival);
-    mArrivals.async_wait([this](asio::error_code) {
-      SendOne();
-      ScheduleNext();
-    });
+    mArrivals.Begin(
+        milliseconds(mSettings.Number("duration-ms")), [this] { SendOne(); },
+        [this] {
+          mDone = true;
+          mRefresh.cancel();
+          StopWhenDone();
+        });
   }
 
   void SendOne() {
@@ -162,17 +146,15 @@
   asio::io_context& mContext;
   const ProgramSettings& mSettings;
   HttpClient mClient;
-  asio::steady_timer mArrivals;
   asio::steady_timer mRefresh;
   std::mt19937 mRandom;
+  Arrivals mArrivals;
   std::vector<std::string> mDirectories;
   std::size_t mNextDirectory = 0;
   std::vector<std::string> mHosts;
   std::uint64_t mNumber = 0;
   std::size_t mInFlight = 0;
   bool mDone = false;
-  SteadyClock::time_point mNextArrival;
-  std::optional<SteadyClock::time_point> mEnd;
 };
 
 }  // namespace
--- a/standins/route_endpoint_main.cpp
+++ b/standins/route_endpoint_main.cpp
@@ -11,12 +11,11 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-#include "core/config/address.h"
 #include "drivers/http_server.h"
-#include "drivers/log.h"
 #include "drivers/program_settings.h"
 #include "platform/names.h"
 #include "servers/query.h"
+#include "standins/stand_in_server.h"
 
 namespace {
 
@@ -124,21 +123,11 @@
   if (const auto code = settings.Parse(aCount, aArguments)) {
     return *code;
   }
-  const Address address = *ParseAddress(settings.Text("address"));
   asio::io_context context(1);
   RouteEndpoint endpoint(context, settings.Text("id"),
                          static_cast<std::size_t>(settings.Number("slots")),
                          std::chrono::milliseconds(settings.Number("work-ms")));
-  HttpServerSettings serverSettings;
-  serverSettings.mIp = address.mIp;
-  serverSettings.mPort = address.mPort;
-  HttpServer server(
-      context, serverSettings,
+  return ServeStandIn(
+      context, settings.Text("address"),
       [&](const HttpExchangePtr& aExchange) { endpoint.Take(aExchange); });
-  if (!server.Start()) {
-    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
-    return kExitFailure;
-  }
-  context.run();
-  return kExitOk;
 }
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -12,12 +12,11 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "core/config/address.h"
 #include "drivers/base64.h"
 #include "drivers/http_server.h"
-#include "drivers/log.h"
 #include "drivers/program_settings.h"
 #include "servers/query.h"
+#include "standins/stand_in_server.h"
 
 namespace {
 
@@ -196,19 +195,9 @@
   if (const auto code = settings.Parse(aCount, aArguments)) {
     return *code;
   }
-  const Address address = *ParseAddress(settings.Text("address"));
   asio::io_context context(1);
   Store store(context);
-  HttpServerSettings serverSettings;
-  serverSettings.mIp = address.mIp;
-  serverSettings.mPort = address.mPort;
-  HttpServer server(
-      context, serverSettings,
+  return ServeStandIn(
+      context, settings.Text("address"),
       [&](const HttpExchangePtr& aExchange) { store.Take(aExchange); });
-  if (!server.Start()) {
-    Log(LogLevel::Error, "cannot_listen", {{"reason", server.LastError()}});
-    return kExitFailure;
-  }
-  context.run();
-  return kExitOk;
 }
