One count of attempts, one check of an endpoint, readers ranked when something changed

The difference of tried and unreached attempts stood in four places (Call::Reached), the test for excluded endpoints in two of the pool, the size of a delta in the keeper and in its test's model, which now uses the product's 48 bytes a change instead of 40. Announce had a time that it did not use. The gateway ranked all hosts by rendezvous at each turn and copied their records for it; it does so now when the members or its own record have changed.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -119,9 +119,7 @@
     const std::vector<std::string>& aExcluded, Duration aWork, TimePoint aNow) {
   std::vector<Ranked> ranked;
   for (const auto& [id, state] : mEndpoints) {
-    const bool excluded =
-        std::find(aExcluded.begin(), aExcluded.end(), id) != aExcluded.end();
-    if (excluded || !IsUsable(state, aNow)) {
+    if (!IsUsable(state, aExcluded, aNow)) {
       continue;
     }
     Ranked entry{&state, 0, Seconds(state, aWork, aNow)};
@@ -264,14 +262,16 @@
                                  TimePoint aNow) const {
   return static_cast<std::size_t>(std::count_if(
       mEndpoints.begin(), mEndpoints.end(), [&](const auto& aEntry) {
-        const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
-                                        aEntry.first) != aExcluded.end();
-        return !excluded && IsUsable(aEntry.second, aNow);
+        return IsUsable(aEntry.second, aExcluded, aNow);
       }));
 }
 
-bool EndpointPool::IsUsable(const State& aState, TimePoint aNow) const {
-  return !aState.mEntry.mDraining && aNow >= aState.mUsableFrom;
+bool EndpointPool::IsUsable(const State& aState,
+                            const std::vector<std::string>& aExcluded,
+                            TimePoint aNow) const {
+  const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
+                                  aState.mEntry.mId) != aExcluded.end();
+  return !excluded && !aState.mEntry.mDraining && aNow >= aState.mUsableFrom;
 }
 
 double EndpointPool::Load(const State& aState, Duration aWork,
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -137,7 +137,9 @@
       const std::vector<std::string>& aExcluded, Duration aWork,
       TimePoint aNow);
   void TakeSample(State& aState, const LoadSample& aSample, TimePoint aNow);
-  [[nodiscard]] bool IsUsable(const State& aState, TimePoint aNow) const;
+  [[nodiscard]] bool IsUsable(const State& aState,
+                              const std::vector<std::string>& aExcluded,
+                              TimePoint aNow) const;
   [[nodiscard]] double Load(const State& aState, Duration aWork,
                             TimePoint aNow) const;
   [[nodiscard]] double Slowdown(const State& aState, Duration aWork,
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -223,8 +223,7 @@
 
 bool GatewayEngine::MayBeSent(ServiceState& aService, const Call& aCall,
                               TimePoint aNow) {
-  const bool reachedNone = aCall.mTried.size() == aCall.mUnreached;
-  if (reachedNone) {
+  if (aCall.Reached() == 0) {
     return true;
   }
   const bool hedges = aCall.mPurpose == Purpose::Hedge;
@@ -265,9 +264,8 @@
   start.mSlowdown = aChoice.mSlowdown;
   start.mNeedsFreshConnection = aCall.mRoute.mKind == RouteKind::AtMostOnce;
   aActions.emplace_back(std::move(start));
-  const bool mayHedge =
-      aCall.mRoute.mKind == RouteKind::Idempotent &&
-      aCall.mTried.size() - aCall.mUnreached < aCall.mRoute.mMaxAttempts;
+  const bool mayHedge = aCall.mRoute.mKind == RouteKind::Idempotent &&
+                        aCall.Reached() < aCall.mRoute.mMaxAttempts;
   if (mayHedge) {
     const Duration expected = std::max(aChoice.mExpected, WorkOf(aCall.mRoute));
     mTimers.emplace(aNow + Scaled(expected, kHedgeAfter),
@@ -278,9 +276,8 @@
 void GatewayEngine::Hedge(CallId aId, TimePoint aNow,
                           GatewayActions& aActions) {
   Call& call = mCalls.at(aId);
-  const std::size_t reached = call.mTried.size() - call.mUnreached;
   const bool mayHedge = call.mRunning.size() == 1 && !call.mQueued &&
-                        reached < call.mRoute.mMaxAttempts &&
+                        call.Reached() < call.mRoute.mMaxAttempts &&
                         !call.mCallerLeft &&
                         !mCrashes.IsSuspect(call.mFingerprint, aNow);
   if (mayHedge) {
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -263,9 +263,8 @@
 bool GatewayEngine::MayRepeat(const Call& aCall, TimePoint aNow) const {
   const bool harmless =
       aCall.mRoute.mKind == RouteKind::Idempotent || !aCall.mMayHaveRun;
-  const std::size_t reached = aCall.mTried.size() - aCall.mUnreached;
   return harmless && !aCall.mCallerLeft &&
-         reached < aCall.mRoute.mMaxAttempts &&
+         aCall.Reached() < aCall.mRoute.mMaxAttempts &&
          aCall.mUnreached <= kMostUnreached && aNow < aCall.mDeadline &&
          !mCrashes.IsSuspect(aCall.mFingerprint, aNow);
 }
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -108,10 +108,11 @@
     std::uint64_t mFingerprint = 0;
     /** Attempts that have not ended. */
     std::vector<AttemptId> mRunning;
-    /** Endpoints that an attempt reached or may have reached. */
+    /** Endpoints that an attempt was sent to. */
     std::vector<std::string> mTried;
     /** Those of them that it is not sent to again. */
     std::vector<std::string> mAvoided;
+    /** Attempts that are known not to have reached theirs. */
     std::uint32_t mUnreached = 0;
     /** An endpoint may have begun to run the request. */
     bool mMayHaveRun = false;
@@ -124,6 +125,11 @@
     ErrorKind mIfNotSent = ErrorKind::Overloaded;
     /** The answer of a failing endpoint, given if nothing better comes. */
     std::shared_ptr<const Response> mFailure;
+
+    /** Attempts that reached an endpoint or may have. */
+    [[nodiscard]] std::size_t Reached() const {
+      return mTried.size() - mUnreached;
+    }
   };
 
   struct ServiceState {
--- a/core/gossip/gossip_telling.cpp
+++ b/core/gossip/gossip_telling.cpp
@@ -87,8 +87,7 @@
   }
 }
 
-Datagrams GossipEngine::Announce(std::vector<EndpointCrash> aCrashes,
-                                 TimePoint /*aNow*/) {
+Datagrams GossipEngine::Announce(std::vector<EndpointCrash> aCrashes) {
   Datagrams datagrams;
   GossipMessage message = Compose(GossipMessage::Kind::Notice);
   message.mCrashes = std::move(aCrashes);
@@ -105,19 +104,20 @@
 }
 
 Datagrams GossipEngine::TellView(bool aAfar) {
-  std::vector<MemberRecord> near = Reachable();
-  std::vector<MemberRecord> told = near;
+  std::vector<MemberRecord> told = Reachable();
   if (RelaysNews()) {
     const auto firstAfar = std::stable_partition(
-        near.begin(), near.end(), [this](const MemberRecord& aOther) {
+        told.begin(), told.end(), [this](const MemberRecord& aOther) {
           return aOther.mDataCentre == mSelf.mDataCentre;
         });
-    std::vector<MemberRecord> afar(firstAfar, near.end());
-    near.erase(firstAfar, near.end());
-    std::shuffle(afar.begin(), afar.end(), mRandom);
-    told = aAfar ? ChooseRelays(afar) : std::vector<MemberRecord>{};
-    const auto next = ChooseNear(near, mSelf.mName);
-    told.insert(told.end(), next.begin(), next.end());
+    std::vector<MemberRecord> afar(firstAfar, told.end());
+    told.erase(firstAfar, told.end());
+    told = ChooseNear(told, mSelf.mName);
+    if (aAfar) {
+      std::shuffle(afar.begin(), afar.end(), mRandom);
+      const auto relays = ChooseRelays(std::move(afar));
+      told.insert(told.begin(), relays.begin(), relays.end());
+    }
   }
   Datagrams datagrams;
   const GossipMessage message = Compose(GossipMessage::Kind::Notice);
--- a/core/view/reader_ranking.cpp
+++ b/core/view/reader_ranking.cpp
@@ -48,12 +48,10 @@
 }
 
 bool IsReader(const MemberRecord& aSelf,
-              const std::vector<MemberRecord>& aOthers) {
-  if (aSelf.mState == MemberState::Leaving) {
-    return false;
-  }
-  const std::vector<std::string> chosen = ChooseReaders(aSelf, aOthers);
-  return std::find(chosen.begin(), chosen.end(), aSelf.mName) != chosen.end();
+              const std::vector<std::string>& aReaders) {
+  return aSelf.mState != MemberState::Leaving &&
+         std::find(aReaders.begin(), aReaders.end(), aSelf.mName) !=
+             aReaders.end();
 }
 
 }  // namespace papayawheel
--- a/core/view/reader_ranking.h
+++ b/core/view/reader_ranking.h
@@ -19,8 +19,8 @@
 std::vector<std::string> ChooseReaders(
     const MemberRecord& aSelf, const std::vector<MemberRecord>& aOthers);
 
-/** Whether a host is one of those. */
+/** Whether a host is one of those and does not leave. */
 bool IsReader(const MemberRecord& aSelf,
-              const std::vector<MemberRecord>& aOthers);
+              const std::vector<std::string>& aReaders);
 
 }  // namespace papayawheel
--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -14,8 +14,20 @@
  */
 constexpr std::size_t kMostGaps = 8;
 
+/** Bytes around one change in a transfer. */
+constexpr std::size_t kBytesPerChange = 48;
+
 }  // namespace
 
+std::size_t SizeOf(const StoreDelta& aDelta) {
+  std::size_t bytes = 0;
+  for (const StoreChange& change : aDelta.mChanges) {
+    bytes += kBytesPerChange + change.mKey.size();
+    bytes += change.mValue ? change.mValue->size() : 0;
+  }
+  return bytes;
+}
+
 std::vector<StoreChange> StoreView::Apply(const StoreDelta& aDelta) {
   std::vector<StoreChange> news;
   if (aDelta.mFull && mLoaded && aDelta.mAsOf < mAsOf) {
--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -37,6 +37,9 @@
   std::vector<StoreGap> mGaps = {};
 };
 
+/** Bytes that the changes of a delta take in a transfer, about. */
+std::size_t SizeOf(const StoreDelta& aDelta);
+
 /** A copy of the platform's store, kept by revision so that two hosts can
  * bring each other up to date. A key never goes back to an older revision. */
 class StoreView {
--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -54,21 +54,9 @@
  * asks another that has it by then. */
 constexpr milliseconds kMostBacklog{120};
 
-/** Bytes around one change in a transfer. */
-constexpr std::size_t kBytesPerChange = 48;
-
 /** Hosts that are remembered as other sources during a pull. */
 constexpr std::size_t kMostSources = 4;
 
-std::size_t SizeOf(const StoreDelta& aDelta) {
-  std::size_t bytes = 0;
-  for (const StoreChange& change : aDelta.mChanges) {
-    bytes += kBytesPerChange + change.mKey.size();
-    bytes += change.mValue ? change.mValue->size() : 0;
-  }
-  return bytes;
-}
-
 }  // namespace
 
 ViewKeeper::ViewKeeper(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart)
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -114,14 +114,14 @@
 void GatewayControl::Leave() {
   asio::post(mContext, [this] {
     mGossip.SetState(MemberState::Leaving);
-    Send(mGossip.Announce({}, mClock.Now()));
+    Send(mGossip.Announce({}));
     Turn();
   });
 }
 
 void GatewayControl::TellCrashes(std::vector<EndpointCrash> aCrashes) {
   asio::post(mContext, [this, crashes = std::move(aCrashes)] {
-    Send(mGossip.Announce(crashes, mClock.Now()));
+    Send(mGossip.Announce(crashes));
   });
 }
 
@@ -149,7 +149,7 @@
   mGossip.SetStoreFailing(mKeeper.IsStoreFailing());
   mGossip.SetView(mKeeper.Summary(now));
   Send(mGossip.Tick(now));
-  const bool isReader = IsReader(mGossip.Self(), mGossip.Reachable());
+  const bool isReader = IsReader(mGossip.Self(), Readers());
   Act(mKeeper.Tick(isReader, now));
   if (mRegistry.Tick(now)) {
     PublishView();
@@ -184,7 +184,16 @@
   }
   mKeeper.Distrust(now);
   PublishTrust();
-  Send(mGossip.Awaken(ChooseReaders(mGossip.Self(), mGossip.Reachable()), now));
+  Send(mGossip.Awaken(Readers(), now));
+}
+
+const std::vector<std::string>& GatewayControl::Readers() {
+  const std::pair known(mGossip.Generation(), mGossip.Self().mVersion);
+  if (mReadersChosenFor != known) {
+    mReadersChosenFor = known;
+    mReaders = ChooseReaders(mGossip.Self(), mGossip.Reachable());
+  }
+  return mReaders;
 }
 
 void GatewayControl::Send(const Datagrams& aDatagrams) {
@@ -248,8 +257,7 @@
     } else if (const auto* const pull = std::get_if<PullView>(&action)) {
       Pull(*pull);
     } else {
-      Send(mGossip.Ask(ChooseReaders(mGossip.Self(), mGossip.Reachable()),
-                       mClock.Now()));
+      Send(mGossip.Ask(Readers(), mClock.Now()));
     }
   }
 }
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -62,6 +62,8 @@
   void Turn();
   void ScheduleTurn();
   void Awaken(Duration aGap);
+  /** The hosts that should watch the store, as far as is known here. */
+  const std::vector<std::string>& Readers();
   void Send(const Datagrams& aDatagrams);
   void ReceiveNext();
   void Received(const GossipMessage& aMessage);
@@ -98,6 +100,10 @@
   EndpointRegistry mRegistry;
   std::shared_ptr<const RouteTable> mRoutes;
   std::uint64_t mSeenGeneration = 0;
+  std::vector<std::string> mReaders;
+  /** What mReaders follow from: the generation of what is known of others, and
+   * the version of this host's own record. */
+  std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersChosenFor;
   bool mWasTrusted = false;
   /** A view was handed to the traffic thread. */
   bool mHasView = false;
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -23,18 +23,8 @@
 constexpr milliseconds kLongestTurn{400};
 constexpr std::size_t kSeeds = 3;
 
-/** Bytes of a transfer between hosts beside keys and values. */
+/** Bytes of a transfer between hosts beside its changes. */
 constexpr std::size_t kBytesPerTransfer = 300;
-constexpr std::size_t kBytesPerChange = 40;
-
-std::size_t SizeOf(const StoreDelta& aDelta) {
-  std::size_t bytes = kBytesPerTransfer;
-  for (const StoreChange& change : aDelta.mChanges) {
-    bytes += kBytesPerChange + change.mKey.size() +
-             change.mValue.value_or("").size();
-  }
-  return bytes;
-}
 
 }  // namespace
 
@@ -177,7 +167,8 @@
   host.mGossip->SetView(host.mKeeper->Summary(now));
   Send(aHost, host.mGossip->Tick(now));
   const bool isReader =
-      IsReader(host.mGossip->Self(), host.mGossip->Reachable());
+      IsReader(host.mGossip->Self(),
+               ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
   Act(aHost, host.mKeeper->Tick(isReader, now));
   Schedule(aHost);
 }
@@ -351,7 +342,8 @@
   // Answers of one host follow each other on its link.
   TimePoint& busyUntil = mHosts[peer].mLinkBusyUntil;
   const std::chrono::duration<double> sending(
-      static_cast<double>(SizeOf(*offered)) / mBytesPerSecond);
+      static_cast<double>(kBytesPerTransfer + SizeOf(*offered)) /
+      mBytesPerSecond);
   busyUntil = std::max<TimePoint>(busyUntil, now) +
               std::chrono::duration_cast<Duration>(sending);
   const TimePoint arrives = busyUntil + 2 * kHostDelay;
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -77,7 +77,7 @@
     std::erase_if(others, [&self](const MemberRecord& aOther) {
       return aOther.mName == self.mName;
     });
-    if (IsReader(self, others)) {
+    if (IsReader(self, ChooseReaders(self, others))) {
       readers.push_back(self.mName);
       for (const std::string& other : readers) {
         const bool sameCentre = std::stoi(other.substr(1)) % 4 ==
@@ -96,7 +96,7 @@
                                    [&failing](const MemberRecord& aHost) {
                                      return aHost.mName == failing;
                                    });
-    CHECK_FALSE(IsReader(*self, hosts));
+    CHECK_FALSE(IsReader(*self, ChooseReaders(*self, hosts)));
   }
 }
 
