Servers share status codes, counters and the calls of a connection

Status numbers, counters' names, the calls of each caller's connection and the pauses of both gateway threads stood in several files. They stand in one now: servers/http_status.h, RenderCounter, ConnectionCalls, gateway_settings.h; the pages of gateway control got a file of their own and the scripts draw ports and wait for gateways in one place. A request that cannot be sent fails by a posted task in place of a timer of 0 ms.

--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -211,12 +211,9 @@
   }
 
   void FailLater(Id aId, const std::string& aReason) {
-    const auto connection = mPending.at(aId).mConnection;
-    connection->mTimer.expires_after(milliseconds(0));
-    connection->mTimer.async_wait(
-        [self = shared_from_this(), aId, aReason](asio::error_code /*aError*/) {
-          self->End(aId, EndpointOutcome::NotConnected, nullptr, aReason);
-        });
+    asio::post(mContext, [self = shared_from_this(), aId, aReason] {
+      self->End(aId, EndpointOutcome::NotConnected, nullptr, aReason);
+    });
   }
 
   void Connected(const ConnectionPtr& aConnection, Id aId,
--- a/drivers/metrics.cpp
+++ b/drivers/metrics.cpp
@@ -89,4 +89,10 @@
                      aType, aName, aValue);
 }
 
+std::string RenderCounter(const std::string& aName, const std::string& aHelp,
+                          std::uint64_t aValue) {
+  return RenderMetric("papayawheel_" + aName, "counter", aHelp,
+                      static_cast<double>(aValue));
+}
+
 }  // namespace papayawheel
--- a/drivers/metrics.h
+++ b/drivers/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -32,4 +33,9 @@
 std::string RenderMetric(const std::string& aName, const std::string& aType,
                          const std::string& aHelp, double aValue);
 
+/** Renders one counter of this product.
+ * @param aName follows the product's prefix. */
+std::string RenderCounter(const std::string& aName, const std::string& aHelp,
+                          std::uint64_t aValue);
+
 }  // namespace papayawheel
--- a/misc/gateway_fleet.sh
+++ b/misc/gateway_fleet.sh
@@ -47,6 +47,21 @@
 link_fault() { request PUT "${link_control[$1]}/fault" "$2" >/dev/null; }
 reset_link() { request PUT "${link_control[$1]}/reset" '{}' >/dev/null; }
 
+# draw_gateway_ports: the ports that all gateways use, each on its own address.
+draw_gateway_ports() {
+  front_port=$(free_port) ready_port=$(free_port) directory_port=$(free_port)
+  control_port=$(free_port) gossip_port=$(free_port)
+}
+
+# wait_for_gateways: until all in gateways are ready and see each other.
+wait_for_gateways() {
+  local name
+  for name in "${gateways[@]}"; do
+    wait_for 10 gateway_is_ready "$name"
+    wait_for 10 sees_others "$name" $((${#gateways[@]} - 1))
+  done
+}
+
 declare -A front=() control=() ready=() directory=()
 start_gateway() {
   local ip="127.0.0.$((10 + $2))"
@@ -89,8 +104,7 @@
 
 # start_gateways COUNT: a store, four endpoints of two services, gateways.
 start_gateways() {
-  front_port=$(free_port) ready_port=$(free_port) directory_port=$(free_port)
-  control_port=$(free_port) gossip_port=$(free_port)
+  draw_gateway_ports
   start_store
   put op/config "$(configuration 7 catalogue)"
   start_route_endpoint o1 orders
@@ -103,8 +117,5 @@
     settings_of "g$n" "$n"
     start_gateway "g$n" "$n"
   done
-  for name in "${gateways[@]}"; do
-    wait_for 10 gateway_is_ready "$name"
-    wait_for 10 sees_others "$name" $(($1 - 1))
-  done
+  wait_for_gateways
 }
--- a/servers/control_api.cpp
+++ b/servers/control_api.cpp
@@ -259,11 +259,6 @@
     inFlight = aEngine.InFlight();
     probes = aEngine.Probes();
   });
-  const auto counter = [](const std::string& aName, const std::string& aHelp,
-                          std::uint64_t aValue) {
-    return RenderMetric("papayawheel_" + aName, "counter", aHelp,
-                        static_cast<double>(aValue));
-  };
   const auto gauge = [](const std::string& aName, const std::string& aHelp,
                         double aValue) {
     return RenderMetric("papayawheel_" + aName, "gauge", aHelp, aValue);
@@ -271,21 +266,26 @@
   HttpReply reply;
   reply.mContentType = "text/plain; version=0.0.4";
   reply.mBody =
-      counter("calls_total", "Calls that arrived.", counts.mArrived) +
-      counter("answered_total", "Calls that were answered.", counts.mAnswered) +
-      counter("not_run_total", "Calls that were not run.", counts.mNotRun) +
-      counter("unknown_total", "Calls whose outcome is unknown.",
-              counts.mUnknown) +
-      counter("retries_total", "Attempts after the first.", counts.mRetries) +
-      counter("passed_on_total", "Calls passed to another host.",
-              counts.mPassedOn) +
-      counter("shed_total", "Calls that a full endpoint refused.",
-              counts.mShed) +
-      counter("probes_total",
-              "Calls sent to endpoints that were full by their last report.",
-              probes) +
-      counter("control_bytes_total", "Bytes that control sent and received.",
-              mWorker.mEngine.Budget().TotalBytes()) +
+      RenderCounter("calls_total", "Calls that arrived.", counts.mArrived) +
+      RenderCounter("answered_total", "Calls that were answered.",
+                    counts.mAnswered) +
+      RenderCounter("not_run_total", "Calls that were not run.",
+                    counts.mNotRun) +
+      RenderCounter("unknown_total", "Calls whose outcome is unknown.",
+                    counts.mUnknown) +
+      RenderCounter("retries_total", "Attempts after the first.",
+                    counts.mRetries) +
+      RenderCounter("passed_on_total", "Calls passed to another host.",
+                    counts.mPassedOn) +
+      RenderCounter("shed_total", "Calls that a full endpoint refused.",
+                    counts.mShed) +
+      RenderCounter(
+          "probes_total",
+          "Calls sent to endpoints that were full by their last report.",
+          probes) +
+      RenderCounter("control_bytes_total",
+                    "Bytes that control sent and received.",
+                    mWorker.mEngine.Budget().TotalBytes()) +
       gauge("in_flight", "Calls in flight.", static_cast<double>(inFlight)) +
       gauge("revision", "Revision of the configuration in force.",
             static_cast<double>(mWorker.mEngine.Store().Revision())) +
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <nlohmann/json.hpp>
 #include <random>
 #include <utility>
 
@@ -14,25 +13,12 @@
 #include "drivers/log.h"
 #include "platform/documents.h"
 #include "servers/gossip_codec.h"
-#include "servers/query.h"
 
 namespace papayawheel {
 namespace {
 
 using std::chrono::milliseconds;
 
-/** Control looks at its clock at least this often. */
-constexpr milliseconds kLongestTurn{400};
-
-/** A longer gap between two turns means that the process was suspended. */
-constexpr milliseconds kPauseGap{1200};
-
-constexpr std::string_view kMetricsPath = "/metrics";
-constexpr std::string_view kStatusPath = "/status";
-
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 std::uint64_t NewIncarnation(const Clock& aClock) {
   // Restarts of a host are further apart than a millisecond.
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
@@ -371,50 +357,4 @@
   }
 }
 
-void GatewayControl::Serve(const HttpExchangePtr& aExchange) {
-  const std::string path = PathOf(aExchange->Target());
-  HttpReply reply;
-  if (path == kViewTransferPath) {
-    const TimePoint now = mClock.Now();
-    const auto delta =
-        mKeeper.Offer(QueryNumber(aExchange->Target(), "after"), now);
-    if (delta) {
-      reply.mBody = EncodeView(ViewTransfer{*delta, mKeeper.Summary(now).mAge});
-      reply.mMayCompress = true;
-    } else {
-      reply.mStatus = kUnavailable;
-    }
-  } else if (path == kMetricsPath) {
-    reply.mContentType = "text/plain; version=0.0.4";
-    reply.mBody = mHooks.mRenderMetrics();
-  } else if (path == kStatusPath) {
-    reply.mBody = RenderStatus();
-  } else {
-    reply.mStatus = kNotFound;
-  }
-  aExchange->Reply(reply);
-}
-
-std::string GatewayControl::RenderStatus() {
-  const TimePoint now = mClock.Now();
-  const ViewSummary view = mKeeper.Summary(now);
-  nlohmann::json members = nlohmann::json::array();
-  for (const MemberRecord& member : mGossip.Reachable()) {
-    members.push_back({{"name", member.mName},
-                       {"data_centre", member.mDataCentre},
-                       {"front", member.mFrontAddress},
-                       {"state", static_cast<int>(member.mState)}});
-  }
-  const nlohmann::json status = {
-      {"host", mSettings.mName},
-      {"revision", view.mNewest},
-      {"configuration", mRoutes == nullptr ? 0 : mRoutes->Source().mVersion},
-      {"endpoints", mRegistry.Endpoints()->size()},
-      {"trusted", mKeeper.IsTrusted(now)},
-      {"view_age_us", view.mAge ? nlohmann::json(view.mAge->count())
-                                : nlohmann::json(nullptr)},
-      {"members", members}};
-  return status.dump(2) + "\n";
-}
-
 }  // namespace papayawheel
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -7,6 +7,7 @@
 #include "drivers/log.h"
 #include "servers/gateway_control.h"
 #include "servers/gossip_codec.h"
+#include "servers/http_status.h"
 
 namespace papayawheel {
 namespace {
@@ -18,8 +19,6 @@
 constexpr milliseconds kReadTimeout{1000};
 constexpr milliseconds kPullTimeout{600};
 
-constexpr int kOk = 200;
-
 }  // namespace
 
 void GatewayControl::ReadPage(StoreDelta aSoFar, const std::string& aAfterKey) {
@@ -35,8 +34,8 @@
 }
 
 void GatewayControl::PageRead(StoreDelta aSoFar, const HttpResult& aResult) {
-  const bool answered =
-      aResult.mKind == HttpResultKind::Answered && aResult.mStatus == kOk;
+  const bool answered = aResult.mKind == HttpResultKind::Answered &&
+                        aResult.mStatus == http_status::kOk;
   auto page = answered ? platform::ParseRead(aResult.mBody) : std::nullopt;
   if (!page) {
     StoreCallFailed(aResult, StoreFailure::NoAnswer);
@@ -76,7 +75,7 @@
     StoreCallFailed(aResult, StoreFailure::HistoryGone);
     return;
   }
-  const auto page = answered && aResult.mStatus == kOk
+  const auto page = answered && aResult.mStatus == http_status::kOk
                         ? platform::ParseWatch(aResult.mBody)
                         : std::nullopt;
   if (!page) {
@@ -107,8 +106,8 @@
   call.mTimeout = kPullTimeout;
   call.mAcceptsCompressed = true;
   mClient.Send(call, [this, peer = aPull.mAddress](const HttpResult& aResult) {
-    const bool answered =
-        aResult.mKind == HttpResultKind::Answered && aResult.mStatus == kOk;
+    const bool answered = aResult.mKind == HttpResultKind::Answered &&
+                          aResult.mStatus == http_status::kOk;
     auto transfer = answered ? DecodeView(aResult.mBody) : std::nullopt;
     std::optional<StoreDelta> delta;
     std::optional<Duration> age;
--- /dev/null
+++ b/servers/gateway_control_pages.cpp
@@ -0,0 +1,65 @@
+// The part of GatewayControl that answers other hosts and operators.
+
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+#include "servers/gateway_control.h"
+#include "servers/gossip_codec.h"
+#include "servers/http_status.h"
+#include "servers/query.h"
+
+namespace papayawheel {
+namespace {
+
+constexpr std::string_view kMetricsPath = "/metrics";
+constexpr std::string_view kStatusPath = "/status";
+
+}  // namespace
+
+void GatewayControl::Serve(const HttpExchangePtr& aExchange) {
+  const std::string path = PathOf(aExchange->Target());
+  HttpReply reply;
+  if (path == kViewTransferPath) {
+    const TimePoint now = mClock.Now();
+    const auto delta =
+        mKeeper.Offer(QueryNumber(aExchange->Target(), "after"), now);
+    if (delta) {
+      reply.mBody = EncodeView(ViewTransfer{*delta, mKeeper.Summary(now).mAge});
+      reply.mMayCompress = true;
+    } else {
+      reply.mStatus = http_status::kUnavailable;
+    }
+  } else if (path == kMetricsPath) {
+    reply.mContentType = "text/plain; version=0.0.4";
+    reply.mBody = mHooks.mRenderMetrics();
+  } else if (path == kStatusPath) {
+    reply.mBody = RenderStatus();
+  } else {
+    reply.mStatus = http_status::kNotFound;
+  }
+  aExchange->Reply(reply);
+}
+
+std::string GatewayControl::RenderStatus() {
+  const TimePoint now = mClock.Now();
+  const ViewSummary view = mKeeper.Summary(now);
+  nlohmann::json members = nlohmann::json::array();
+  for (const MemberRecord& member : mGossip.Reachable()) {
+    members.push_back({{"name", member.mName},
+                       {"data_centre", member.mDataCentre},
+                       {"front", member.mFrontAddress},
+                       {"state", static_cast<int>(member.mState)}});
+  }
+  const nlohmann::json status = {
+      {"host", mSettings.mName},
+      {"revision", view.mNewest},
+      {"configuration", mRoutes == nullptr ? 0 : mRoutes->Source().mVersion},
+      {"endpoints", mRegistry.Endpoints()->size()},
+      {"trusted", mKeeper.IsTrusted(now)},
+      {"view_age_us", view.mAge ? nlohmann::json(view.mAge->count())
+                                : nlohmann::json(nullptr)},
+      {"members", members}};
+  return status.dump(2) + "\n";
+}
+
+}  // namespace papayawheel
--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -12,6 +12,7 @@
 #include "drivers/header_text.h"
 #include "platform/caller_protocol.h"
 #include "platform/names.h"
+#include "servers/http_status.h"
 
 namespace papayawheel {
 namespace {
@@ -24,7 +25,6 @@
 constexpr milliseconds kAnyIdle{3'600'000};
 
 constexpr std::int64_t kMostPatienceMillis = 3'600'000;
-constexpr int kMisdirectedStatus = 421;
 
 bool IsSetHere(const std::string& aName) {
   return IsSameName(aName, platform::kTimeLeftHeader) ||
@@ -124,7 +124,7 @@
     reply.mSample = platform::ParseLoad(*load);
   }
   if (FindHeader(response.mHeaders, platform::kNotRunHeader) ||
-      response.mStatus == kMisdirectedStatus) {
+      response.mStatus == http_status::kMisdirected) {
     reply.mResult = AttemptResult::NotExecuted;
     return reply;
   }
--- a/servers/gateway_settings.h
+++ b/servers/gateway_settings.h
@@ -9,6 +9,12 @@
 
 namespace papayawheel {
 
+/** Each thread looks at its clock at least this often. */
+constexpr std::chrono::milliseconds kLongestTurn{400};
+
+/** A longer gap between two turns means that the process was suspended. */
+constexpr std::chrono::milliseconds kPauseGap{1200};
+
 /** Settings of one gateway process. Addresses are IP number and port. */
 struct GatewaySettings {
   std::string mName;
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -13,6 +13,7 @@
 #include "platform/caller_protocol.h"
 #include "platform/names.h"
 #include "servers/gateway_messages.h"
+#include "servers/http_status.h"
 #include "servers/query.h"
 
 namespace papayawheel {
@@ -20,12 +21,6 @@
 
 using std::chrono::milliseconds;
 
-/** Traffic looks at its clock at least this often. */
-constexpr milliseconds kLongestTurn{400};
-
-/** A longer gap between two turns means that the process was suspended. */
-constexpr milliseconds kPauseGap{1200};
-
 /** How long callers may keep an answer of the directory. Some keep it three
  * times as long, and a host that stops must outlast that. */
 constexpr milliseconds kKeep{1500};
@@ -46,10 +41,6 @@
 /** Bodies above the operator's limit are refused by the server itself. */
 constexpr std::size_t kMaxBody = 64U << 20U;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 }  // namespace
 
 GatewayTraffic::GatewayTraffic(const GatewaySettings& aSettings,
@@ -169,7 +160,7 @@
   const GatewayRequest request = ReadGatewayRequest(*aExchange);
   const TimePoint now = mClock.Now();
   mExchanges[id] = Exchange{aExchange, request.mRequestId, now};
-  mByConnection[aExchange->ConnectionId()].push_back(id);
+  mByConnection.Add(aExchange->ConnectionId(), id);
   Act(mEngine.Arrive(id, request, now));
 }
 
@@ -177,9 +168,9 @@
   HttpReply reply;
   reply.mContentType = "text/plain";
   if (PathOf(aExchange->Target()) != platform::kReadinessPath) {
-    reply.mStatus = kNotFound;
+    reply.mStatus = http_status::kNotFound;
   } else {
-    reply.mStatus = IsReady() ? kOk : kUnavailable;
+    reply.mStatus = IsReady() ? http_status::kOk : http_status::kUnavailable;
   }
   aExchange->Reply(reply);
 }
@@ -188,7 +179,7 @@
   const auto question = platform::ParseResolve(aExchange->Target());
   HttpReply reply;
   if (!question) {
-    reply.mStatus = kNotFound;
+    reply.mStatus = http_status::kNotFound;
     aExchange->Reply(reply);
     return;
   }
@@ -203,7 +194,8 @@
   }
   const auto addresses =
       SelectFronts(hosts, question->mDataCentre, kFrontsPerDataCentre);
-  reply.mStatus = addresses.empty() ? kUnavailable : kOk;
+  reply.mStatus =
+      addresses.empty() ? http_status::kUnavailable : http_status::kOk;
   reply.mBody =
       platform::RenderResolve(addresses, std::min(kKeep, mSettings.mMostKeep));
   reply.mClose = mLeaving;
@@ -211,13 +203,7 @@
 }
 
 void GatewayTraffic::CallerClosed(std::uint64_t aConnection) {
-  const auto found = mByConnection.find(aConnection);
-  if (found == mByConnection.end()) {
-    return;
-  }
-  const std::vector<CallId> calls = std::move(found->second);
-  mByConnection.erase(found);
-  for (const CallId id : calls) {
+  for (const CallId id : mByConnection.Take(aConnection)) {
     if (mExchanges.erase(id) > 0) {
       Act(mEngine.CallerLeft(id, mClock.Now()));
     }
@@ -233,17 +219,9 @@
     } else if (const auto* const probe = std::get_if<StartProbe>(&action)) {
       Probe(*probe);
     } else if (const auto* const late = std::get_if<CancelProbe>(&action)) {
-      const auto probing = mProbing.find(late->mProbe);
-      if (probing != mProbing.end()) {
-        mClient.Cancel(probing->second);
-        mProbing.erase(probing);
-      }
+      Cancel(mProbing, late->mProbe);
     } else if (const auto* const cancel = std::get_if<CancelAttempt>(&action)) {
-      const auto sending = mSending.find(cancel->mAttempt);
-      if (sending != mSending.end()) {
-        mClient.Cancel(sending->second);
-        mSending.erase(sending);
-      }
+      Cancel(mSending, cancel->mAttempt);
     }
   }
   if (const auto crashes = mEngine.TakeCrashes(); !crashes.empty()) {
@@ -256,6 +234,14 @@
   }
 }
 
+void GatewayTraffic::Cancel(Requests& aRequests, std::uint64_t aId) {
+  const auto found = aRequests.find(aId);
+  if (found != aRequests.end()) {
+    mClient.Cancel(found->second);
+    aRequests.erase(found);
+  }
+}
+
 void GatewayTraffic::Answer(const GatewayAnswer& aAnswer) {
   const auto found = mExchanges.find(aAnswer.mCall);
   if (found == mExchanges.end()) {
@@ -263,13 +249,7 @@
   }
   const Exchange exchange = std::move(found->second);
   mExchanges.erase(found);
-  const auto connection = mByConnection.find(exchange.mHttp->ConnectionId());
-  if (connection != mByConnection.end()) {
-    std::erase(connection->second, aAnswer.mCall);
-    if (connection->second.empty()) {
-      mByConnection.erase(connection);
-    }
-  }
+  mByConnection.Remove(exchange.mHttp->ConnectionId(), aAnswer.mCall);
   HttpReply reply = WriteGatewayReply(aAnswer);
   reply.mClose = mLeaving;
   LogAnswer(exchange, aAnswer, reply);
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -15,6 +15,7 @@
 #include "core/gossip/gossip_message.h"
 #include "drivers/endpoint_client.h"
 #include "drivers/http_server.h"
+#include "servers/connection_calls.h"
 #include "servers/gateway_settings.h"
 
 namespace papayawheel {
@@ -64,12 +65,16 @@
     TimePoint mArrivedAt;
   };
 
+  /** Requests to endpoints under way, by what they were sent for. */
+  using Requests = std::unordered_map<std::uint64_t, EndpointClient::Id>;
+
   bool OpenServers();
   void Take(const HttpExchangePtr& aExchange);
   void AnswerDirectory(const HttpExchangePtr& aExchange);
   void AnswerReadiness(const HttpExchangePtr& aExchange);
   void CallerClosed(std::uint64_t aConnection);
   void Act(const GatewayActions& aActions);
+  void Cancel(Requests& aRequests, std::uint64_t aId);
   void Answer(const GatewayAnswer& aAnswer);
   void LogAnswer(const Exchange& aExchange, const GatewayAnswer& aAnswer,
                  const HttpReply& aReply) const;
@@ -95,10 +100,10 @@
   std::shared_ptr<const RoutingView> mView;
   std::vector<MemberRecord> mMembers;
   std::unordered_map<CallId, Exchange> mExchanges;
-  /** Calls of each connection that are not answered. */
-  std::unordered_map<std::uint64_t, std::vector<CallId>> mByConnection;
-  std::unordered_map<AttemptId, EndpointClient::Id> mSending;
-  std::unordered_map<ProbeId, EndpointClient::Id> mProbing;
+  ConnectionCalls mByConnection;
+  /** By attempt, and by question for a load. */
+  Requests mSending;
+  Requests mProbing;
   CallId mLastCall = 0;
   bool mLeaving = false;
   bool mDone = false;
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -48,30 +48,25 @@
   asio::post(mContext, [this, &rendered] {
     const GatewayCounts& counts = mEngine.Counts();
     std::string text =
-        RenderMetric("papayawheel_requests_total", "counter",
-                     "Requests of callers.",
-                     static_cast<double>(counts.mArrived)) +
-        RenderMetric("papayawheel_answers_total", "counter",
-                     "Answers of endpoints passed on.",
-                     static_cast<double>(counts.mAnswered)) +
-        RenderMetric("papayawheel_retries_total", "counter",
-                     "Requests sent again after a failure.",
-                     static_cast<double>(counts.mRetries)) +
-        RenderMetric("papayawheel_hedges_total", "counter",
-                     "Requests sent to a second endpoint while the first is "
-                     "silent.",
-                     static_cast<double>(counts.mHedges)) +
-        RenderMetric("papayawheel_probes_total", "counter",
-                     "Questions to endpoints for their load.",
-                     static_cast<double>(counts.mProbes)) +
-        RenderMetric("papayawheel_connections_opened_total", "counter",
-                     "Connections opened to endpoints.",
-                     static_cast<double>(mClient.Counts().mOpened));
+        RenderCounter("requests_total", "Requests of callers.",
+                      counts.mArrived) +
+        RenderCounter("answers_total", "Answers of endpoints passed on.",
+                      counts.mAnswered) +
+        RenderCounter("retries_total", "Requests sent again after a failure.",
+                      counts.mRetries) +
+        RenderCounter("hedges_total",
+                      "Requests sent to a second endpoint while the first is "
+                      "silent.",
+                      counts.mHedges) +
+        RenderCounter("probes_total", "Questions to endpoints for their load.",
+                      counts.mProbes) +
+        RenderCounter("connections_opened_total",
+                      "Connections opened to endpoints.",
+                      mClient.Counts().mOpened);
     for (const auto& [kind, count] : counts.mErrors) {
-      text += RenderMetric(
-          "papayawheel_errors_" + std::string(AnswerOf(kind).mName) + "_total",
-          "counter", std::string(AnswerOf(kind).mMessage),
-          static_cast<double>(count));
+      text += RenderCounter(
+          "errors_" + std::string(AnswerOf(kind).mName) + "_total",
+          std::string(AnswerOf(kind).mMessage), count);
     }
     rendered.set_value(std::move(text));
   });
--- /dev/null
+++ b/servers/http_status.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** Status codes of HTTP that our servers and clients decide by. */
+namespace papayawheel::http_status {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kGone = 410;
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+
+}  // namespace papayawheel::http_status
--- a/servers/traffic_worker.cpp
+++ b/servers/traffic_worker.cpp
@@ -107,7 +107,7 @@
   call.mHeaders = aExchange->Headers();
   call.mConnection = aExchange->ConnectionId();
   call.mArrivedAt = mState.TimeSource().Now();
-  mConnections[call.mConnection].insert(id);
+  mConnections.Add(call.mConnection, id);
   const Call& stored = mCalls.emplace(id, std::move(call)).first->second;
   Decide([&](CallEngine& aEngine, TimePoint aNow) {
     return aEngine.Arrive(id, stored.mRequest, aNow);
@@ -115,13 +115,7 @@
 }
 
 void TrafficWorker::OnClosed(std::uint64_t aConnection) {
-  const auto found = mConnections.find(aConnection);
-  if (found == mConnections.end()) {
-    return;
-  }
-  const std::unordered_set<CallId> calls = std::move(found->second);
-  mConnections.erase(found);
-  for (const CallId id : calls) {
+  for (const CallId id : mConnections.Take(aConnection)) {
     Decide([id](CallEngine& aEngine, TimePoint aNow) {
       return aEngine.CallerLeft(id, aNow);
     });
@@ -162,13 +156,7 @@
   }
   const Call call = std::move(found->second);
   mCalls.erase(found);
-  const auto connection = mConnections.find(call.mConnection);
-  if (connection != mConnections.end()) {
-    connection->second.erase(aAction.mCall);
-    if (connection->second.empty()) {
-      mConnections.erase(connection);
-    }
-  }
+  mConnections.Remove(call.mConnection, aAction.mCall);
   if (aAction.mResponse != nullptr) {
     const auto total = std::chrono::duration_cast<Duration>(
         mState.TimeSource().Now() - call.mArrivedAt);
--- a/servers/traffic_worker.h
+++ b/servers/traffic_worker.h
@@ -7,12 +7,12 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "core/entry/call.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "servers/connection_calls.h"
 #include "servers/host_state.h"
 
 namespace papayawheel {
@@ -99,7 +99,7 @@
   asio::steady_timer mTimer;
   CallId mLastCall = 0;
   std::unordered_map<CallId, Call> mCalls;
-  std::unordered_map<std::uint64_t, std::unordered_set<CallId>> mConnections;
+  ConnectionCalls mConnections;
 };
 
 }  // namespace papayawheel
--- a/standins/faulty_link_main.cpp
+++ b/standins/faulty_link_main.cpp
@@ -17,6 +17,7 @@
 #include "drivers/http_server.h"
 #include "drivers/log.h"
 #include "drivers/program_settings.h"
+#include "servers/http_status.h"
 #include "servers/query.h"
 #include "standins/stand_in_server.h"
 
@@ -26,8 +27,6 @@
 using Json = nlohmann::json;
 using asio::ip::tcp;
 
-constexpr int kBadRequest = 400;
-
 /** What befalls all connections of the link. */
 struct LinkFaults {
   /** Each piece of data is held back for so long. */
@@ -194,7 +193,7 @@
       mFaults.mSilentBack = body.value("silent_back", false);
       mFaults.mRefuses = body.value("refuses", false);
     } else {
-      reply.mStatus = kBadRequest;
+      reply.mStatus = http_status::kBadRequest;
     }
     aExchange->Reply(reply);
   }
--- a/standins/route_caller_main.cpp
+++ b/standins/route_caller_main.cpp
@@ -14,6 +14,7 @@
 #include "drivers/http_client.h"
 #include "drivers/program_settings.h"
 #include "platform/names.h"
+#include "servers/http_status.h"
 #include "standins/arrivals.h"
 
 namespace {
@@ -23,8 +24,6 @@
 using std::chrono::milliseconds;
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr int kOk = 200;
-
 /** How much longer than its patience a caller listens, to tell late answers
  * from none. */
 constexpr milliseconds kListenLonger{2000};
@@ -67,8 +66,9 @@
   void TakeHosts(const HttpResult& aResult) {
     std::chrono::duration<double> next = kAskAgain;
     const Json answer = Json::parse(aResult.mBody, nullptr, false);
-    if (aResult.mKind == HttpResultKind::Answered && aResult.mStatus == kOk &&
-        answer.is_object() && !answer["addresses"].empty()) {
+    if (aResult.mKind == HttpResultKind::Answered &&
+        aResult.mStatus == http_status::kOk && answer.is_object() &&
+        !answer["addresses"].empty()) {
       mHosts = answer["addresses"].get<std::vector<std::string>>();
       next = std::chrono::duration<double>(answer["ttl-s"].get<double>());
       Begin();
@@ -130,7 +130,8 @@
     const std::string expected =
         fmt::format(" {} {} {}\n", aSent.mMethod, aSent.mTarget, aSent.mBody);
     const bool isWhole = aResult.mBody.ends_with(expected);
-    const bool isRight = !answered || aResult.mStatus != kOk || isWhole;
+    const bool isRight =
+        !answered || aResult.mStatus != http_status::kOk || isWhole;
     fmt::print("request={} method={} status={} right={} took_ms={}\n",
                aSent.mId, aSent.mMethod, answered ? aResult.mStatus : 0,
                isRight ? 1 : 0, took.count());
--- a/standins/route_endpoint_main.cpp
+++ b/standins/route_endpoint_main.cpp
@@ -14,6 +14,7 @@
 #include "drivers/http_server.h"
 #include "drivers/program_settings.h"
 #include "platform/names.h"
+#include "servers/http_status.h"
 #include "servers/query.h"
 #include "standins/stand_in_server.h"
 
@@ -22,9 +23,6 @@
 using namespace papayawheel;
 using Json = nlohmann::json;
 
-constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
-
 std::string Name(std::string_view aHeader) { return std::string(aHeader); }
 
 class RouteEndpoint {
@@ -55,11 +53,11 @@
         aExchange->Header(Name(platform::kExpectedEndpointHeader));
     const auto id = aExchange->Header(Name(platform::kRequestIdHeader));
     if (expected.value_or(mId) != mId || !id) {
-      Answer(aExchange, kMisdirected, true);
+      Answer(aExchange, http_status::kMisdirected, true);
       return;
     }
     if (mRunning >= mSlots) {
-      Answer(aExchange, kUnavailable, true);
+      Answer(aExchange, http_status::kUnavailable, true);
       return;
     }
     ++mRunning;
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -15,6 +15,7 @@
 #include "drivers/base64.h"
 #include "drivers/http_server.h"
 #include "drivers/program_settings.h"
+#include "servers/http_status.h"
 #include "servers/query.h"
 #include "standins/stand_in_server.h"
 
@@ -24,8 +25,6 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kPageItems = 20;
-constexpr int kGone = 410;
-constexpr int kUnavailable = 503;
 
 class Store {
  public:
@@ -43,7 +42,7 @@
     } else if (mFault == "hang") {
       mHeld.push_back(aExchange);
     } else if (mFault == "down") {
-      Answer(aExchange, Json::object(), kUnavailable);
+      Answer(aExchange, Json::object(), http_status::kUnavailable);
     } else if (path == "/kv-range") {
       ++mCalls;
       Read(aExchange, target);
@@ -131,7 +130,7 @@
     watcher->mExchange = aExchange;
     watcher->mAfter = QueryNumber(aTarget, "after");
     if (watcher->mAfter < mForgotten) {
-      Answer(aExchange, Json::object(), kGone);
+      Answer(aExchange, Json::object(), http_status::kGone);
       return;
     }
     if (mRevision > watcher->mAfter) {
@@ -169,7 +168,7 @@
     Answer(aExchange, Json{{"fault", mFault}});
     if (mFault == "down") {
       for (const auto& watcher : std::exchange(mWatchers, {})) {
-        Answer(watcher->mExchange, Json::object(), kUnavailable);
+        Answer(watcher->mExchange, Json::object(), http_status::kUnavailable);
       }
     }
   }
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -25,8 +25,7 @@
 
 # --- the fleet: each gateway reaches the store, and each endpoint is reached,
 # over a link of its own
-front_port=$(free_port) ready_port=$(free_port) directory_port=$(free_port)
-control_port=$(free_port) gossip_port=$(free_port)
+draw_gateway_ports
 start_store
 version=7
 put op/config "$(configuration "$version" catalogue)"
@@ -56,10 +55,7 @@
   settings_of "g$n" "$n" "${link_address[store$n]}"
   start_gateway "g$n" "$n"
 done
-for name in "${gateways[@]}"; do
-  wait_for 10 gateway_is_ready "$name"
-  wait_for 10 sees_others "$name" $((gateway_count - 1))
-done
+wait_for_gateways
 directories="$(IFS=,; echo "${directory[*]}")"
 
 # --- the load
