--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -15,20 +15,43 @@
 }
 trap stop_fleet EXIT
 
-# Prints a port that nothing listens on, below the range from which the system
-# takes ports by itself.
+# Prints a port that no fleet of this machine has drawn and nothing listens on.
 free_port() {
   local port
+  draw_port
+  echo "$port"
+}
+
+# draw_port: the same, into port. A claim names the shell that drew the port, so
+# that what a killed script claimed can be drawn again.
+claims="${TMPDIR:-/tmp}/papayawheel-ports"
+draw_port() {
+  mkdir -p "$claims"
   while true; do
-    port=$((20000 + (RANDOM * 32768 + RANDOM) % 12000))
-    grep -qw "$port" "$work/ports" 2>/dev/null && continue
+    try_port
     (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null && continue
-    echo "$port" >>"$work/ports"
-    echo "$port"
-    return
+    claim_port "$port" && return
   done
 }
 
+# try_port: proposes a port below the range from which the system takes ports by
+# itself.
+try_port() { port=$((20000 + (RANDOM * 32768 + RANDOM) % 12000)); }
+
+# claim_port PORT: fails if a running script has claimed it. Scripts take turns,
+# so that a stale claim is replaced by one of them only.
+claim_port() {
+  local owner
+  {
+    flock 9
+    owner="$(cat "$claims/$1" 2>/dev/null || true)"
+    if [ -n "$owner" ] && kill -0 "$owner" 2>/dev/null; then
+      return 1
+    fi
+    echo "$$" >"$claims/$1"
+  } 9>"$claims/lock"
+}
+
 # start NAME PROGRAM [SETTING ...]: starts a program; its log is $work/NAME.log.
 start() {
   local name="$1" program="$2"
