Among equal endpoints each host keeps to a few of its own

The order among equals is drawn once for each endpoint and host. tests/core/test_endpoint_pool: of 20 idle endpoints a host turned to all 20; now 6 at most, and 60 hosts together turn to all alike.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -49,7 +49,8 @@
  * than this part: bytes between data centres cost more than a short wait. */
 constexpr double kDistanceCost = 0.3;
 
-/** Estimates that differ by less than this part are as good as equal. */
+/** Estimates that differ by less than this part are as good as equal: each host
+ * then keeps to endpoints of its own choice, to which it has connections. */
 constexpr double kTieBreak = 0.08;
 
 double ToSeconds(TimePoint::duration aDuration) {
@@ -104,6 +105,8 @@
       state.mSlownessAt = aNow;
       state.mFailuresAt = aNow;
       state.mUsableFrom = aNow;
+      state.mReluctance =
+          std::uniform_real_distribution<double>(0, kTieBreak)(mRandom);
     }
     const bool isNews = !stays || state.mEntry.mWarmUpLeft != entry.mWarmUpLeft;
     if (isNews) {
@@ -129,8 +132,7 @@
     if (state.mEntry.mDataCentre != mDataCentre) {
       entry.mScore *= 1 + kDistanceCost;
     }
-    entry.mScore *=
-        1 + std::uniform_real_distribution<double>(0, kTieBreak)(mRandom);
+    entry.mScore *= 1 + state.mReluctance;
     ranked.push_back(entry);
   }
   std::sort(ranked.begin(), ranked.end(),
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -124,6 +124,8 @@
     /** No request is sent before this time. */
     TimePoint mUsableFrom;
     TimePoint mWarmUntil;
+    /** Part by which this host likes it less than others that are as good. */
+    double mReluctance = 0;
   };
 
   struct Ranked {
--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -157,6 +158,45 @@
   CHECK(pool.StaleCandidates({"a", "b"}, kWork, 3, later).size() == 2);
 }
 
+TEST_CASE("endpoint pool: a quiet service is asked over few connections") {
+  // Among equals each host keeps to a few of its own, since every endpoint
+  // that it turns to costs it a connection.
+  constexpr std::size_t kHosts = 60;
+  constexpr std::size_t kEndpoints = 20;
+  constexpr std::size_t kAsked = 3;
+  EndpointMap entries;
+  for (std::size_t number = 0; number < kEndpoints; ++number) {
+    const std::string id = fmt::format("e{}", number);
+    entries.emplace(id, MakeEntry(id, "dc1"));
+  }
+  std::map<std::string, std::size_t> hostsOf;
+  std::mt19937 seeds(1);
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    EndpointPool pool("dc1", static_cast<std::uint32_t>(seeds()));
+    pool.Configure(entries, "service", kStart);
+    std::map<std::string, int> asked;
+    for (int call = 0; call < 100; ++call) {
+      const TimePoint now = kStart + call * seconds(1);
+      for (const auto& candidate :
+           pool.StaleCandidates({}, kWork, kAsked, now)) {
+        ++asked[candidate.mId];
+        pool.NoteSample(candidate.mId, LoadSample{0, 0, 4, 1}, now);
+      }
+    }
+    CAPTURE(host);
+    CHECK(asked.size() <= 2 * kAsked);
+    for (const auto& [id, count] : asked) {
+      ++hostsOf[id];
+    }
+  }
+  // All hosts together turn to all endpoints alike.
+  CHECK(hostsOf.size() == kEndpoints);
+  constexpr std::size_t kMean = kHosts * kAsked / kEndpoints;
+  for (const auto& [id, hosts] : hostsOf) {
+    CHECK_MESSAGE(hosts <= 3 * kMean, hosts);
+  }
+}
+
 TEST_CASE("endpoint registry: entries that lapse while the store is away") {
   struct Case {
     bool mMayHaveLapsed;
