The directory keeps its answers; the best endpoint is found without a sort

FrontDirectory keeps the addresses of each data centre until hosts change; Rank() orders only as many as are asked for; members are looked through when a ping may be due. Answers of the directory are gone from the profile, the sort's share is 0.78%, the traffic thread 7.55% (8.59%). Test: what the directory keeps follows the hosts through six changes.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -119,33 +119,44 @@
   mEndpoints = std::move(next);
 }
 
+EndpointPool::Ranked EndpointPool::Score(const State& aState, Duration aWork,
+                                         TimePoint aNow) const {
+  Ranked entry{&aState, 0, Seconds(aState, aWork, aNow)};
+  const double failures = Decayed(
+      aState.mFailures, 0, Since(aState.mFailuresAt, aNow), kFailureHalfLife);
+  entry.mScore = entry.mSeconds * (1 + kFailureCost * failures);
+  if (aState.mEntry.mDataCentre != mDataCentre) {
+    entry.mScore *= 1 + kDistanceCost;
+  }
+  entry.mScore *= 1 + aState.mReluctance;
+  return entry;
+}
+
 std::vector<EndpointPool::Ranked> EndpointPool::Rank(
-    const std::vector<std::string>& aExcluded, Duration aWork, TimePoint aNow) {
+    const std::vector<std::string>& aExcluded, Duration aWork,
+    std::size_t aMost, TimePoint aNow) const {
   std::vector<Ranked> ranked;
+  ranked.reserve(mEndpoints.size());
   for (const auto& [id, state] : mEndpoints) {
-    if (!IsUsable(state, aExcluded, aNow)) {
-      continue;
+    if (IsUsable(state, aExcluded, aNow)) {
+      ranked.push_back(Score(state, aWork, aNow));
     }
-    Ranked entry{&state, 0, Seconds(state, aWork, aNow)};
-    const double failures = Decayed(
-        state.mFailures, 0, Since(state.mFailuresAt, aNow), kFailureHalfLife);
-    entry.mScore = entry.mSeconds * (1 + kFailureCost * failures);
-    if (state.mEntry.mDataCentre != mDataCentre) {
-      entry.mScore *= 1 + kDistanceCost;
-    }
-    entry.mScore *= 1 + state.mReluctance;
-    ranked.push_back(entry);
   }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const Ranked& aLeft, const Ranked& aRight) {
-              return aLeft.mScore < aRight.mScore;
-            });
+  const std::size_t count = std::min(aMost, ranked.size());
+  std::partial_sort(
+      ranked.begin(),
+      std::next(ranked.begin(), static_cast<std::ptrdiff_t>(count)),
+      ranked.end(), [](const Ranked& aLeft, const Ranked& aRight) {
+        return aLeft.mScore < aRight.mScore;
+      });
+  ranked.resize(count);
   return ranked;
 }
 
 std::optional<EndpointPool::Choice> EndpointPool::Pick(
-    const std::vector<std::string>& aExcluded, Duration aWork, TimePoint aNow) {
-  const std::vector<Ranked> ranked = Rank(aExcluded, aWork, aNow);
+    const std::vector<std::string>& aExcluded, Duration aWork,
+    TimePoint aNow) const {
+  const std::vector<Ranked> ranked = Rank(aExcluded, aWork, 1, aNow);
   if (ranked.empty()) {
     return std::nullopt;
   }
@@ -162,13 +173,9 @@
 
 std::vector<EndpointPool::Candidate> EndpointPool::StaleCandidates(
     const std::vector<std::string>& aExcluded, Duration aWork,
-    std::size_t aMost, TimePoint aNow) {
+    std::size_t aMost, TimePoint aNow) const {
   std::vector<Candidate> candidates;
-  std::size_t seen = 0;
-  for (const Ranked& entry : Rank(aExcluded, aWork, aNow)) {
-    if (seen++ == aMost) {
-      break;
-    }
+  for (const Ranked& entry : Rank(aExcluded, aWork, aMost, aNow)) {
     if (Since(entry.mState->mReportedAt, aNow) > kFreshFor) {
       candidates.push_back(
           Candidate{entry.mState->mEntry.mId, entry.mState->mEntry.mAddress});
@@ -316,6 +323,9 @@
 
 double EndpointPool::Decayed(double aValue, double aTowards, Duration aAge,
                              Duration aHalfLife) {
+  if (aValue == aTowards) {
+    return aTowards;
+  }
   const double halfLives = ToSeconds(aAge) / ToSeconds(aHalfLife);
   return aTowards + (aValue - aTowards) * std::exp2(-halfLives);
 }
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -71,13 +71,13 @@
    * @param aWork typical time of the request on an idle endpoint. */
   [[nodiscard]] std::optional<Choice> Pick(
       const std::vector<std::string>& aExcluded, Duration aWork,
-      TimePoint aNow);
+      TimePoint aNow) const;
 
   /** The endpoints that Pick() would prefer but whose last report is old.
    * @param aMost how many to name, those with fresh reports included. */
   [[nodiscard]] std::vector<Candidate> StaleCandidates(
       const std::vector<std::string>& aExcluded, Duration aWork,
-      std::size_t aMost, TimePoint aNow);
+      std::size_t aMost, TimePoint aNow) const;
 
   /** Whether the last report of an endpoint is as good as a new one. Always so
    * while no endpoint of the service has ever told its load. */
@@ -134,10 +134,12 @@
     double mSeconds = 0;
   };
 
-  /** The endpoints that may be chosen, the best first. */
+  [[nodiscard]] Ranked Score(const State& aState, Duration aWork,
+                             TimePoint aNow) const;
+  /** The best endpoints that may be chosen, the best first. */
   [[nodiscard]] std::vector<Ranked> Rank(
       const std::vector<std::string>& aExcluded, Duration aWork,
-      TimePoint aNow);
+      std::size_t aMost, TimePoint aNow) const;
   void TakeSample(State& aState, const LoadSample& aSample, TimePoint aNow);
   [[nodiscard]] bool IsUsable(const State& aState,
                               const std::vector<std::string>& aExcluded,
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -87,13 +87,7 @@
 }
 
 TimePoint GossipEngine::NextDue() const {
-  TimePoint due = std::min({mNextPeriod, mNextSeeds, mNextRoster});
-  for (const auto& [name, member] : mMembers) {
-    if (member.mPingedAt) {
-      due = std::min(due, *member.mPingedAt + kPingTimeout);
-    }
-  }
-  return due;
+  return std::min({mNextPeriod, mNextSeeds, mNextRoster, mNextPingCheck});
 }
 
 void GossipEngine::PingSeeds(TimePoint aNow, Datagrams& aDatagrams) {
@@ -188,6 +182,7 @@
 void GossipEngine::Ping(Member& aMember, TimePoint aNow,
                         Datagrams& aDatagrams) {
   aMember.mPingedAt = aNow;
+  mNextPingCheck = std::min<TimePoint>(mNextPingCheck, aNow + kPingTimeout);
   SendTo(aMember, Compose(GossipMessage::Kind::Ping), aDatagrams);
 }
 
@@ -206,9 +201,18 @@
 }
 
 void GossipEngine::CheckPings(TimePoint aNow, Datagrams& aDatagrams) {
+  if (aNow < mNextPingCheck) {
+    return;
+  }
+  mNextPingCheck = TimePoint::max();
   std::vector<std::string> doubts;
   for (auto& [name, member] : mMembers) {
-    if (!member.mPingedAt || aNow - *member.mPingedAt < kPingTimeout) {
+    if (!member.mPingedAt) {
+      continue;
+    }
+    if (aNow - *member.mPingedAt < kPingTimeout) {
+      mNextPingCheck =
+          std::min<TimePoint>(mNextPingCheck, *member.mPingedAt + kPingTimeout);
       continue;
     }
     member.mPingedAt.reset();
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -116,6 +116,8 @@
   std::map<std::string, std::uint32_t> mNews;
   TimePoint mNextPeriod;
   TimePoint mNextSeeds;
+  /** No ping is due to be given up before. */
+  TimePoint mNextPingCheck = TimePoint::max();
   /** When the next roster is asked for, and how many were. */
   TimePoint mNextRoster = TimePoint::max();
   std::size_t mRosterAsks = 0;
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -8,7 +8,6 @@
 #include <utility>
 
 #include "core/config/address.h"
-#include "core/gossip/front_selection.h"
 #include "drivers/log.h"
 #include "platform/caller_protocol.h"
 #include "platform/names.h"
@@ -49,6 +48,7 @@
       mClock(aClock),
       mHooks(std::move(aHooks)),
       mEngine(aSettings.mDataCentre, std::random_device{}()),
+      mFronts(kFrontsPerDataCentre),
       mLastTurn(aClock.Now()) {
   mEngine.SetRetryBudget(aSettings.mRetryBudget, 1);
 }
@@ -127,7 +127,7 @@
 void GatewayTraffic::SetMembers(std::vector<MemberRecord> aReachable,
                                 std::size_t aKnown) {
   asio::post(mContext, [this, members = std::move(aReachable), aKnown] {
-    mMembers = members;
+    mFronts.SetOthers(members);
     mEngine.SetRetryBudget(mSettings.mRetryBudget, aKnown);
   });
 }
@@ -164,6 +164,18 @@
   Act(mEngine.Arrive(id, request, now));
 }
 
+std::optional<MemberRecord> GatewayTraffic::SelfAsFront() const {
+  if (!IsReady()) {
+    return std::nullopt;
+  }
+  MemberRecord self;
+  self.mName = mSettings.mName;
+  self.mDataCentre = mSettings.mDataCentre;
+  self.mFrontAddress = mSettings.mFrontAddress;
+  self.mState = MemberState::Ready;
+  return self;
+}
+
 void GatewayTraffic::AnswerReadiness(const HttpExchangePtr& aExchange) {
   HttpReply reply;
   reply.mContentType = "text/plain";
@@ -183,17 +195,8 @@
     aExchange->Reply(reply);
     return;
   }
-  std::vector<MemberRecord> hosts = mMembers;
-  if (IsReady()) {
-    MemberRecord self;
-    self.mName = mSettings.mName;
-    self.mDataCentre = mSettings.mDataCentre;
-    self.mFrontAddress = mSettings.mFrontAddress;
-    self.mState = MemberState::Ready;
-    hosts.push_back(self);
-  }
-  const auto addresses =
-      SelectFronts(hosts, question->mDataCentre, kFrontsPerDataCentre);
+  mFronts.SetSelf(SelfAsFront());
+  const auto addresses = mFronts.Select(question->mDataCentre);
   reply.mStatus =
       addresses.empty() ? http_status::kUnavailable : http_status::kOk;
   reply.mBody =
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -12,6 +12,7 @@
 
 #include "core/base/clock.h"
 #include "core/gateway/gateway_engine.h"
+#include "core/gossip/front_directory.h"
 #include "core/gossip/gossip_message.h"
 #include "drivers/endpoint_client.h"
 #include "drivers/http_server.h"
@@ -71,6 +72,8 @@
   bool OpenServers();
   void Take(const HttpExchangePtr& aExchange);
   void AnswerDirectory(const HttpExchangePtr& aExchange);
+  /** This host for callers' addresses; nothing while it does not serve. */
+  [[nodiscard]] std::optional<MemberRecord> SelfAsFront() const;
   void AnswerReadiness(const HttpExchangePtr& aExchange);
   void CallerClosed(std::uint64_t aConnection);
   void Act(const GatewayActions& aActions);
@@ -98,7 +101,7 @@
   std::vector<std::unique_ptr<HttpServer>> mServers;
   GatewayEngine mEngine;
   std::shared_ptr<const RoutingView> mView;
-  std::vector<MemberRecord> mMembers;
+  FrontDirectory mFronts;
   std::unordered_map<CallId, Exchange> mExchanges;
   ConnectionCalls mByConnection;
   /** By attempt, and by question for a load. */
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -1,9 +1,12 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "core/gossip/front_directory.h"
 #include "core/gossip/front_selection.h"
 #include "core/view/reader_ranking.h"
 
@@ -49,6 +52,59 @@
   CHECK(after[2] == before[3]);
 }
 
+TEST_CASE("fronts: what the directory keeps follows the hosts") {
+  constexpr std::size_t kMost = 4;
+  std::vector<MemberRecord> others = MakeHosts(18, 3);
+  const MemberRecord self = others.back();
+  others.pop_back();
+  FrontDirectory directory(kMost);
+  std::optional<MemberRecord> shownSelf;
+  struct Step {
+    std::string mWhat;
+    std::function<void()> mChange;
+  };
+  const std::vector<Step> steps = {
+      {"no host is known", [] {}},
+      {"others are", [&] { directory.SetOthers(others); }},
+      {"this host serves",
+       [&] {
+         shownSelf = self;
+         directory.SetSelf(shownSelf);
+       }},
+      {"one leaves",
+       [&] {
+         others[2].mState = MemberState::Leaving;
+         directory.SetOthers(others);
+       }},
+      {"this host stops",
+       [&] {
+         shownSelf.reset();
+         directory.SetSelf(shownSelf);
+       }},
+      {"a data centre is lost", [&] {
+         std::erase_if(others, [](const MemberRecord& aHost) {
+           return aHost.mDataCentre == "dc1";
+         });
+         directory.SetOthers(others);
+       }}};
+  for (const Step& step : steps) {
+    CAPTURE(step.mWhat);
+    step.mChange();
+    std::vector<MemberRecord> hosts = others;
+    if (step.mWhat == "no host is known") {
+      hosts.clear();
+    }
+    if (shownSelf) {
+      hosts.push_back(*shownSelf);
+    }
+    // Asked twice, the second answer is the one that was kept.
+    for (const char* const centre :
+         {"dc0", "dc1", "dc2", "dc0", "dc1", "dc2", "elsewhere"}) {
+      CHECK(directory.Select(centre) == SelectFronts(hosts, centre, kMost));
+    }
+  }
+}
+
 TEST_CASE("fronts: other data centres help where one has too few hosts") {
   struct Case {
     std::size_t mNear;
