A host that knows no loads asks before it sends

Ruled out: slow starts (ready 10 to 75 ms after the process starts).

Until the endpoints of a service have told a load, or were asked in vain, no report counts as fresh, so the first request asks a few of them as every later one does. Endpoints that cannot be asked (no health path) hold no request up: before, one that told its load in answers let the next requests wait until the end of their queue time.

Tests failed first: a host that knows no loads asks before it sends; endpoints that cannot be asked hold no request up; what is known of loads that were never told.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -185,9 +185,12 @@
 }
 
 bool EndpointPool::IsFresh(const std::string& aId, TimePoint aNow) const {
+  if (mTelling != Telling::Tells) {
+    return mTelling == Telling::Silent;
+  }
   const auto found = mEndpoints.find(aId);
   return found != mEndpoints.end() &&
-         (!mTellsLoad || Since(found->second.mReportedAt, aNow) <= kFreshFor);
+         Since(found->second.mReportedAt, aNow) <= kFreshFor;
 }
 
 void EndpointPool::NoteSample(const std::string& aId, const LoadSample& aSample,
@@ -203,6 +206,13 @@
   if (found != mEndpoints.end()) {
     NoteFailure(found->second, true, aNow);
   }
+  NoteSilence();
+}
+
+void EndpointPool::NoteSilence() {
+  if (mTelling == Telling::Unknown) {
+    mTelling = Telling::Silent;
+  }
 }
 
 void EndpointPool::TakeSample(State& aState, const LoadSample& aSample,
@@ -212,7 +222,7 @@
       std::max(0.0, total - static_cast<double>(aState.mOwn.size()));
   aState.mPace = aSample.mPace;
   aState.mFailuresInRow = 0;
-  mTellsLoad = true;
+  mTelling = Telling::Tells;
   aState.mReportedAt = aNow;
 }
 
@@ -239,6 +249,8 @@
   }
   if (aSample) {
     TakeSample(state, *aSample, aNow);
+  } else if (aResult == AttemptResult::Answered) {
+    NoteSilence();
   }
   switch (aResult) {
     case AttemptResult::Answered:
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -80,7 +80,7 @@
       std::size_t aMost, TimePoint aNow) const;
 
   /** Whether the last report of an endpoint is as good as a new one. Always so
-   * while no endpoint of the service has ever told its load. */
+   * if the endpoints of the service were asked in vain for their load. */
   [[nodiscard]] bool IsFresh(const std::string& aId, TimePoint aNow) const;
 
   /** An endpoint told its load. */
@@ -128,6 +128,9 @@
     double mReluctance = 0;
   };
 
+  /** Whether endpoints of the service tell their load. */
+  enum class Telling { Unknown, Tells, Silent };
+
   struct Ranked {
     const State* mState = nullptr;
     double mScore = 0;
@@ -154,12 +157,14 @@
                         Duration aHalfLife);
   static void NoteSpeed(State& aState, double aExpected, Duration aElapsed,
                         TimePoint aNow);
+  /** An endpoint that was asked told nothing. */
+  void NoteSilence();
   void NoteFailure(State& aState, bool aBreaksOff, TimePoint aNow);
 
   std::string mDataCentre;
   std::minstd_rand mRandom;
   std::map<std::string, State> mEndpoints;
-  bool mTellsLoad = false;
+  Telling mTelling = Telling::Unknown;
 };
 
 }  // namespace papayawheel
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -120,7 +120,8 @@
     const auto choice =
         service.mPool.Pick(call.mAvoided, WorkOf(call.mRoute), aNow);
     const bool good = choice && choice->mSlowdown < kGoodSlowdown &&
-                      service.mPool.IsFresh(choice->mId, aNow);
+                      (HealthPath(aService).empty() ||
+                       service.mPool.IsFresh(choice->mId, aNow));
     if (!good) {
       break;
     }
@@ -138,6 +139,12 @@
   }
 }
 
+std::string GatewayEngine::HealthPath(const std::string& aService) const {
+  const auto& services = mView->mRoutes->Source().mServices;
+  const auto terms = services.find(aService);
+  return terms == services.end() ? std::string() : terms->second.mHealthPath;
+}
+
 void GatewayEngine::AskForLoads(const std::string& aService, TimePoint aNow,
                                 GatewayActions& aActions) {
   ServiceState& service = ServiceOf(aService);
@@ -148,15 +155,13 @@
   if (!service.mAsking.empty() || aNow < service.mNextRound) {
     return;
   }
-  const auto terms = mView->mRoutes->Source().mServices.find(aService);
-  const bool canAsk = terms != mView->mRoutes->Source().mServices.end() &&
-                      !terms->second.mHealthPath.empty();
+  const std::string healthPath = HealthPath(aService);
   const Call& first = mCalls.at(service.mQueue.Front()->mId);
   const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
                                       kLeastAsked, kMostAsked);
   const auto candidates = service.mPool.StaleCandidates(
       first.mAvoided, WorkOf(first.mRoute), most, aNow);
-  if (canAsk) {
+  if (!healthPath.empty()) {
     for (const EndpointPool::Candidate& candidate : candidates) {
       const ProbeId probe = ++mLastProbe;
       mProbes[probe] = Probe{aService, candidate.mId};
@@ -164,8 +169,8 @@
       mTimers.emplace(aNow + kProbeTime,
                       Timer{TimerKind::ProbeEnd, 0, {}, probe});
       ++mCounts.mProbes;
-      aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
-                                       terms->second.mHealthPath});
+      aActions.emplace_back(
+          StartProbe{probe, candidate.mId, candidate.mAddress, healthPath});
     }
   }
   service.mRoundEnds = aNow + kRoundTime;
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -172,6 +172,8 @@
    * their load while calls are waiting. */
   void Pump(const std::string& aService, TimePoint aNow,
             GatewayActions& aActions);
+  /** Where endpoints of a service tell their load; empty if nowhere. */
+  [[nodiscard]] std::string HealthPath(const std::string& aService) const;
   void AskForLoads(const std::string& aService, TimePoint aNow,
                    GatewayActions& aActions);
   /** The time for which a call may wait is over. */
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -32,6 +32,10 @@
   /** @param aRetrySlack repeats that are allowed beyond the ratio. */
   explicit GatewayHarness(std::size_t aEndpoints, double aRetrySlack = 1000);
 
+  /** Endpoints are asked for their load here from the next Publish() on; an
+   * empty path if they cannot be asked. */
+  void SetHealthPath(const std::string& aPath) { mHealthPath = aPath; }
+
   /** Publishes the endpoints with these numbers. */
   void Publish(const std::vector<std::size_t>& aNumbers);
   CallId Ask(bool aIdempotent, std::optional<Duration> aPatience = {});
@@ -76,6 +80,7 @@
   std::set<CallId> mLeft;
   CallId mLastCall = 0;
   std::uint64_t mRevision = 0;
+  std::string mHealthPath = "/health";
   std::string mFault;
 };
 
--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -129,6 +129,22 @@
   }
 }
 
+TEST_CASE("endpoint pool: what is known of loads that were never told") {
+  const EndpointMap entries = MakeEntries();
+  EndpointPool pool("dc1", 1);
+  pool.Configure(entries, "service", kStart);
+  CHECK_FALSE(pool.IsFresh("a", kStart));
+  pool.NoteUnanswered("b", kStart);
+  CHECK(pool.IsFresh("a", kStart));
+  pool.NoteSample("c", LoadSample{0, 0, 4, 1}, kStart);
+  CHECK(pool.IsFresh("c", kStart));
+  CHECK_FALSE(pool.IsFresh("a", kStart));
+  CHECK_FALSE(pool.IsFresh("c", kStart + milliseconds(50)));
+  // One that is silent later does not speak for the others.
+  pool.NoteUnanswered("b", kStart);
+  CHECK_FALSE(pool.IsFresh("a", kStart));
+}
+
 TEST_CASE("endpoint pool: another data centre is used only if it is sooner") {
   struct Case {
     /** How many times longer work takes in the host's own data centre. */
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -313,6 +313,46 @@
   }
 }
 
+TEST_CASE("gateway: a host that knows no loads asks before it sends") {
+  struct Case {
+    std::string mWhat;
+    std::string mHealthPath;
+    /** What becomes of the questions. */
+    bool mAnswered;
+    bool mSentBefore;
+  };
+  const std::vector<Case> table = {
+      {"endpoints tell their load", "/health", true, false},
+      {"endpoints do not answer", "/health", false, false},
+      {"endpoints cannot be asked", "", false, true},
+  };
+  for (const Case& row : table) {
+    CAPTURE(row.mWhat);
+    GatewayHarness harness(3);
+    harness.SetHealthPath(row.mHealthPath);
+    harness.Publish({0, 1, 2});
+    harness.Ask(true);
+    CHECK(harness.Running().size() == (row.mSentBefore ? 1 : 0));
+    harness.AnswerProbes(row.mAnswered);
+    harness.Advance(milliseconds(150));
+    harness.AnswerProbes(row.mAnswered);
+    REQUIRE(harness.Running().size() == 1);
+  }
+}
+
+TEST_CASE("gateway: endpoints that cannot be asked hold no request up") {
+  GatewayHarness harness(3);
+  harness.SetHealthPath("");
+  harness.Publish({0, 1, 2});
+  for (int request = 0; request < 3; ++request) {
+    harness.Ask(true);
+    REQUIRE(harness.Running().size() == 1);
+    // Its answer tells a load, which is old when the next request comes.
+    harness.End(0, AttemptResult::Answered);
+    harness.Advance(milliseconds(60));
+  }
+}
+
 TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
   for (const bool idempotent : {true, false}) {
     GatewayHarness harness(2);
