--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -217,8 +217,8 @@
   // All hosts together turn to all endpoints alike.
   CHECK(hostsOf.size() == kEndpoints);
   constexpr std::size_t kMean = kHosts * kAsked / kEndpoints;
-  for (const auto& [id, hosts] : hostsOf) {
-    CHECK_MESSAGE(hosts <= 3 * kMean, hosts);
+  for (const auto& entry : hostsOf) {
+    CHECK_MESSAGE(entry.second <= 3 * kMean, entry.first);
   }
 }
 
