A red test: a parted data centre does not meet who came meanwhile

Callers are sent to hosts of their own data centre and copies of the store come from others, so what is lost is one source more.

--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -149,6 +149,10 @@
   mHosts[aHost].mCutFromHosts = aCut;
 }
 
+void GossipFleet::PartDataCentre(std::size_t aDataCentre, bool aParted) {
+  mParted = aParted ? std::optional(aDataCentre) : std::nullopt;
+}
+
 void GossipFleet::CutFromStore(std::size_t aHost, bool aCut) {
   mHosts[aHost].mCutFromStore = aCut;
 }
@@ -202,7 +206,9 @@
                           const GossipMessage& aText) {
   Host& host = mHosts[aTo];
   const bool arrives = host.mAlive && !host.mFrozen && !host.mCutFromHosts &&
-                       !mHosts[aFrom].mCutFromHosts;
+                       !mHosts[aFrom].mCutFromHosts &&
+                       !(mParted && (aFrom % mDataCentres == *mParted) !=
+                                        (aTo % mDataCentres == *mParted));
   if (!arrives) {
     return;
   }
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -36,6 +36,8 @@
   void Freeze(std::size_t aHost, bool aFrozen);
   /** Cuts a host off from all others, but not from the store. */
   void CutFromHosts(std::size_t aHost, bool aCut);
+  /** Parts one data centre from the others. */
+  void PartDataCentre(std::size_t aDataCentre, bool aParted);
   void CutFromStore(std::size_t aHost, bool aCut);
   /** Every host is cut off from the store, and the watches that wait hang. */
   void SetStoreDown(bool aDown);
@@ -110,6 +112,7 @@
   std::uint64_t mRevision = 1;
   std::uint64_t mLastWatch = 0;
   bool mStoreDown = false;
+  std::optional<std::size_t> mParted;
   std::uint64_t mStoreCalls = 0;
   std::uint64_t mDatagrams = 0;
 };
--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -120,6 +120,26 @@
   }
 }
 
+TEST_CASE("gossip: a parted data centre meets who came meanwhile") {
+  // The new host starts after the cut and the seeds lie on its side.
+  constexpr std::size_t kParted = 3;
+  constexpr std::size_t kPartedHost = 11;
+  constexpr std::size_t kNew = 12;
+  GossipFleet fleet(18, 4, 7);
+  fleet.Run(seconds(8));
+  fleet.Kill(kNew);
+  // It is forgotten meanwhile.
+  fleet.Run(seconds(70));
+  fleet.PartDataCentre(kParted, true);
+  fleet.Run(seconds(5));
+  fleet.Restart(kNew);
+  fleet.Run(seconds(15));
+  fleet.PartDataCentre(kParted, false);
+  fleet.Run(seconds(4));
+  CHECK(fleet.Reaches(kPartedHost, kNew));
+  CHECK(fleet.Reaches(kNew, kPartedHost));
+}
+
 TEST_CASE("view: a change is known everywhere within its bound") {
   struct Case {
     std::string mWhat;
