The directory knows its own host; one check of who reaches whom in the model

Read again as a whole; behaviour stays.

- FrontDirectory is given this host once and told whether it serves.
Before, traffic made the host's record anew for each question of a caller, and a record that had changed would not have been taken over.
- The health path of a service is looked up only if no report is fresh, and is not copied at each turn of the queue.
- The gossip model asked twice, in different words, whether one host reaches another; its copies of the store went through a parted data centre.
One check now.

Looked at and left: the two callers' ends of a load (six lines and members that differ), mains of the stand-ins (same shape, other settings).

--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -120,8 +120,8 @@
     const auto choice =
         service.mPool.Pick(call.mAvoided, WorkOf(call.mRoute), aNow);
     const bool good = choice && choice->mSlowdown < kGoodSlowdown &&
-                      (HealthPath(aService).empty() ||
-                       service.mPool.IsFresh(choice->mId, aNow));
+                      (service.mPool.IsFresh(choice->mId, aNow) ||
+                       HealthPath(aService).empty());
     if (!good) {
       break;
     }
@@ -139,10 +139,11 @@
   }
 }
 
-std::string GatewayEngine::HealthPath(const std::string& aService) const {
+std::string_view GatewayEngine::HealthPath(const std::string& aService) const {
   const auto& services = mView->mRoutes->Source().mServices;
   const auto terms = services.find(aService);
-  return terms == services.end() ? std::string() : terms->second.mHealthPath;
+  return terms == services.end() ? std::string_view()
+                                 : std::string_view(terms->second.mHealthPath);
 }
 
 void GatewayEngine::AskForLoads(const std::string& aService, TimePoint aNow,
@@ -155,7 +156,7 @@
   if (!service.mAsking.empty() || aNow < service.mNextRound) {
     return;
   }
-  const std::string healthPath = HealthPath(aService);
+  const std::string_view healthPath = HealthPath(aService);
   const Call& first = mCalls.at(service.mQueue.Front()->mId);
   const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
                                       kLeastAsked, kMostAsked);
@@ -169,8 +170,8 @@
       mTimers.emplace(aNow + kProbeTime,
                       Timer{TimerKind::ProbeEnd, 0, {}, probe});
       ++mCounts.mProbes;
-      aActions.emplace_back(
-          StartProbe{probe, candidate.mId, candidate.mAddress, healthPath});
+      aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
+                                       std::string(healthPath)});
     }
   }
   service.mRoundEnds = aNow + kRoundTime;
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -172,8 +173,9 @@
    * their load while calls are waiting. */
   void Pump(const std::string& aService, TimePoint aNow,
             GatewayActions& aActions);
-  /** Where endpoints of a service tell their load; empty if nowhere. */
-  [[nodiscard]] std::string HealthPath(const std::string& aService) const;
+  /** Where endpoints of a service tell their load, for as long as the view
+   * stays; empty if nowhere. */
+  [[nodiscard]] std::string_view HealthPath(const std::string& aService) const;
   void AskForLoads(const std::string& aService, TimePoint aNow,
                    GatewayActions& aActions);
   /** The time for which a call may wait is over. */
--- a/core/gossip/front_directory.cpp
+++ b/core/gossip/front_directory.cpp
@@ -12,9 +12,9 @@
   mSelected.clear();
 }
 
-void FrontDirectory::SetSelf(const std::optional<MemberRecord>& aSelf) {
-  if (mSelf.has_value() != aSelf.has_value()) {
-    mSelf = aSelf;
+void FrontDirectory::SetServing(bool aServes) {
+  if (mServes != aServes) {
+    mServes = aServes;
     mSelected.clear();
   }
 }
@@ -26,22 +26,18 @@
     return known->second;
   }
   std::vector<MemberRecord> hosts = mOthers;
-  if (mSelf) {
-    hosts.push_back(*mSelf);
+  if (mServes) {
+    hosts.push_back(mSelf);
   }
   std::vector<std::string> selected = SelectFronts(hosts, aDataCentre, mMost);
-  if (HasHostsIn(aDataCentre)) {
+  const bool hasHosts = std::any_of(hosts.begin(), hosts.end(),
+                                    [&aDataCentre](const MemberRecord& aHost) {
+                                      return aHost.mDataCentre == aDataCentre;
+                                    });
+  if (hasHosts) {
     mSelected.emplace(aDataCentre, selected);
   }
   return selected;
 }
 
-bool FrontDirectory::HasHostsIn(const std::string& aDataCentre) const {
-  const auto isIn = [&aDataCentre](const MemberRecord& aHost) {
-    return aHost.mDataCentre == aDataCentre;
-  };
-  return (mSelf && isIn(*mSelf)) ||
-         std::any_of(mOthers.begin(), mOthers.end(), isIn);
-}
-
 }  // namespace papayawheel
--- a/core/gossip/front_directory.h
+++ b/core/gossip/front_directory.h
@@ -2,8 +2,8 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/gossip/gossip_message.h"
@@ -14,23 +14,24 @@
  * seldom, so what SelectFronts() finds is kept until they change. */
 class FrontDirectory {
  public:
-  /** @param aMost hosts to name, unless a data centre has fewer. */
-  explicit FrontDirectory(std::size_t aMost) : mMost(aMost) {}
+  /** @param aSelf this host as callers see it while it serves.
+   * @param aMost hosts to name, unless a data centre has fewer. */
+  FrontDirectory(MemberRecord aSelf, std::size_t aMost)
+      : mSelf(std::move(aSelf)), mMost(aMost) {}
 
   /** Takes over the other hosts that can be reached. */
   void SetOthers(std::vector<MemberRecord> aOthers);
-  /** Takes over this host; nothing while it does not serve. */
-  void SetSelf(const std::optional<MemberRecord>& aSelf);
+  /** Whether this host is one of those that callers are sent to. */
+  void SetServing(bool aServes);
 
   /** Addresses for the callers of a data centre; see SelectFronts(). */
   std::vector<std::string> Select(const std::string& aDataCentre);
 
  private:
-  [[nodiscard]] bool HasHostsIn(const std::string& aDataCentre) const;
-
+  MemberRecord mSelf;
   std::size_t mMost;
+  bool mServes = false;
   std::vector<MemberRecord> mOthers;
-  std::optional<MemberRecord> mSelf;
   /** By data centre; only those that have hosts, so that callers who name
    * others do not fill it. */
   std::map<std::string, std::vector<std::string>> mSelected;
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -40,6 +40,16 @@
 /** Bodies above the operator's limit are refused by the server itself. */
 constexpr std::size_t kMaxBody = 64U << 20U;
 
+/** This host as callers see it. */
+MemberRecord SelfAsFront(const GatewaySettings& aSettings) {
+  MemberRecord self;
+  self.mName = aSettings.mName;
+  self.mDataCentre = aSettings.mDataCentre;
+  self.mFrontAddress = aSettings.mFrontAddress;
+  self.mState = MemberState::Ready;
+  return self;
+}
+
 }  // namespace
 
 GatewayTraffic::GatewayTraffic(const GatewaySettings& aSettings,
@@ -48,7 +58,7 @@
       mClock(aClock),
       mHooks(std::move(aHooks)),
       mEngine(aSettings.mDataCentre, std::random_device{}()),
-      mFronts(kFrontsPerDataCentre),
+      mFronts(SelfAsFront(aSettings), kFrontsPerDataCentre),
       mLastTurn(aClock.Now()) {
   mEngine.SetRetryBudget(aSettings.mRetryBudget, 1);
 }
@@ -164,18 +174,6 @@
   Act(mEngine.Arrive(id, request, now));
 }
 
-std::optional<MemberRecord> GatewayTraffic::SelfAsFront() const {
-  if (!IsReady()) {
-    return std::nullopt;
-  }
-  MemberRecord self;
-  self.mName = mSettings.mName;
-  self.mDataCentre = mSettings.mDataCentre;
-  self.mFrontAddress = mSettings.mFrontAddress;
-  self.mState = MemberState::Ready;
-  return self;
-}
-
 void GatewayTraffic::AnswerReadiness(const HttpExchangePtr& aExchange) {
   HttpReply reply;
   reply.mContentType = "text/plain";
@@ -195,7 +193,7 @@
     aExchange->Reply(reply);
     return;
   }
-  mFronts.SetSelf(SelfAsFront());
+  mFronts.SetServing(IsReady());
   const auto addresses = mFronts.Select(question->mDataCentre);
   reply.mStatus =
       addresses.empty() ? http_status::kUnavailable : http_status::kOk;
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -72,8 +72,6 @@
   bool OpenServers();
   void Take(const HttpExchangePtr& aExchange);
   void AnswerDirectory(const HttpExchangePtr& aExchange);
-  /** This host for callers' addresses; nothing while it does not serve. */
-  [[nodiscard]] std::optional<MemberRecord> SelfAsFront() const;
   void AnswerReadiness(const HttpExchangePtr& aExchange);
   void CallerClosed(std::uint64_t aConnection);
   void Act(const GatewayActions& aActions);
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -164,6 +164,15 @@
   return host.mAlive && !host.mFrozen && host.mLife == aLife;
 }
 
+bool GossipFleet::IsConnected(std::size_t aFrom, std::size_t aTo) const {
+  const Host& to = mHosts[aTo];
+  const auto isParted = [this](std::size_t aHost) {
+    return mParted == aHost % mDataCentres;
+  };
+  return to.mAlive && !to.mFrozen && !to.mCutFromHosts &&
+         !mHosts[aFrom].mCutFromHosts && isParted(aFrom) == isParted(aTo);
+}
+
 void GossipFleet::Turn(std::size_t aHost) {
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
@@ -205,11 +214,7 @@
 void GossipFleet::Deliver(std::size_t aFrom, std::size_t aTo,
                           const GossipMessage& aText) {
   Host& host = mHosts[aTo];
-  const bool arrives = host.mAlive && !host.mFrozen && !host.mCutFromHosts &&
-                       !mHosts[aFrom].mCutFromHosts &&
-                       !(mParted && (aFrom % mDataCentres == *mParted) !=
-                                        (aTo % mDataCentres == *mParted));
-  if (!arrives) {
+  if (!IsConnected(aFrom, aTo)) {
     return;
   }
   const TimePoint now = mEvents.Now();
@@ -330,10 +335,7 @@
 void GossipFleet::Pull(std::size_t aHost, const PullView& aPull) {
   const std::size_t peer = IndexOf(aPull.mAddress);
   const std::uint64_t life = mHosts[aHost].mLife;
-  const bool reaches = mHosts[peer].mAlive && !mHosts[peer].mFrozen &&
-                       !mHosts[peer].mCutFromHosts &&
-                       !mHosts[aHost].mCutFromHosts;
-  if (!reaches) {
+  if (!IsConnected(aHost, peer)) {
     mEvents.After(kPullTimeout,
                   [this, aHost, life] { PullFailed(aHost, life); });
     return;
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -81,6 +81,8 @@
     std::uint64_t mNumber = 0;
   };
 
+  /** Whether what one running host sends reaches another. */
+  [[nodiscard]] bool IsConnected(std::size_t aFrom, std::size_t aTo) const;
   static std::string NameOf(std::size_t aHost);
   static std::string AddressOf(std::size_t aHost);
   static std::size_t IndexOf(const std::string& aAddress);
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,8 +56,8 @@
   std::vector<MemberRecord> others = MakeHosts(18, 3);
   const MemberRecord self = others.back();
   others.pop_back();
-  FrontDirectory directory(kMost);
-  std::optional<MemberRecord> shownSelf;
+  FrontDirectory directory(self, kMost);
+  bool serves = false;
   struct Step {
     std::string mWhat;
     std::function<void()> mChange;
@@ -68,8 +67,8 @@
       {"others are", [&] { directory.SetOthers(others); }},
       {"this host serves",
        [&] {
-         shownSelf = self;
-         directory.SetSelf(shownSelf);
+         serves = true;
+         directory.SetServing(serves);
        }},
       {"one leaves",
        [&] {
@@ -78,8 +77,8 @@
        }},
       {"this host stops",
        [&] {
-         shownSelf.reset();
-         directory.SetSelf(shownSelf);
+         serves = false;
+         directory.SetServing(serves);
        }},
       {"a data centre is lost", [&] {
          std::erase_if(others, [](const MemberRecord& aHost) {
@@ -94,8 +93,8 @@
     if (step.mWhat == "no host is known") {
       hosts.clear();
     }
-    if (shownSelf) {
-      hosts.push_back(*shownSelf);
+    if (serves) {
+      hosts.push_back(self);
     }
     // Asked twice, the second answer is the one that was kept.
     for (const char* const centre :
