A host that regains hosts it had lost asks one of them for its roster

Cause: a host that starts while a data centre without seeds is cut off is unknown there, and those in it are unknown to the host; after the cut nobody tells one of the other. Ruled out: news of records, which is passed on only while it is new. Change: when an eighth of the known hosts was lost and one of them is heard again, it is asked for its roster, at most once in 3 s; one that was restarted is not, as it knows no more.

--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -29,6 +29,13 @@
     milliseconds(300), milliseconds(700), milliseconds(1500),
     milliseconds(2500)};
 
+/** Hosts on the other side of a partition may have met others meanwhile. They
+ * are asked for their rosters if this part of the known hosts was lost, which
+ * is less than a data centre, and no more often than this. */
+constexpr std::size_t kPartitionPart = 8;
+constexpr std::size_t kLeastParted = 2;
+constexpr seconds kRegainedPause{3};
+
 /** How often one host passes a record on. */
 constexpr std::uint32_t kTellings = 6;
 /** Hosts to whom a doubt is told. */
@@ -246,10 +253,18 @@
   if (aMessage.mSender.mName == mSelf.mName) {
     return datagrams;
   }
+  const bool endsPartition =
+      aNow >= mNextRegainedAsk && EndsPartition(aMessage.mSender);
   if (!TakeSender(aMessage, aNow)) {
     return datagrams;
   }
   Member& sender = mMembers.at(aMessage.mSender.mName);
+  if (endsPartition) {
+    mNextRegainedAsk = aNow + kRegainedPause;
+    GossipMessage ping = Compose(GossipMessage::Kind::Ping);
+    ping.mWantsRoster = true;
+    SendTo(sender, std::move(ping), datagrams);
+  }
   if (aMessage.mKind == GossipMessage::Kind::Ping) {
     SendTo(sender, Compose(GossipMessage::Kind::Ack), datagrams);
     if (aMessage.mWantsRoster) {
@@ -270,6 +285,25 @@
   return datagrams;
 }
 
+bool GossipEngine::EndsPartition(const MemberRecord& aSender) const {
+  const auto found = mMembers.find(aSender.mName);
+  if (found == mMembers.end()) {
+    return false;
+  }
+  const Member& sender = found->second;
+  // One that was restarted knows no more than this host.
+  const bool regained = sender.mWasReached && !sender.mReachable &&
+                        sender.mRecord.mIncarnation == aSender.mIncarnation;
+  if (!regained) {
+    return false;
+  }
+  const auto lost = static_cast<std::size_t>(
+      std::count_if(mMembers.begin(), mMembers.end(), [](const auto& aEntry) {
+        return aEntry.second.mWasReached && !aEntry.second.mReachable;
+      }));
+  return lost >= std::max(kLeastParted, mMembers.size() / kPartitionPart);
+}
+
 bool GossipEngine::TakeSender(const GossipMessage& aMessage, TimePoint aNow) {
   const MemberRecord& sender = aMessage.mSender;
   const auto found = mMembers.find(sender.mName);
@@ -300,6 +334,7 @@
   member.mUnanswered = 0;
   if (!member.mReachable) {
     member.mReachable = true;
+    member.mWasReached = true;
     Changed();
   }
   return true;
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -71,6 +71,8 @@
   struct Member {
     MemberRecord mRecord;
     bool mReachable = false;
+    /** It was reachable at some time. */
+    bool mWasReached = false;
     TimePoint mHeardAt;
     /** When the ping that is not answered yet was sent. */
     std::optional<TimePoint> mPingedAt;
@@ -93,6 +95,9 @@
   void AskForRosters(TimePoint aNow);
   /** Asks one host of the data centre, else any. */
   void AskForRoster(TimePoint aNow, Datagrams& aDatagrams);
+  /** Whether a message comes from a host that was lost together with many
+   * others, as when a network partition ends. */
+  [[nodiscard]] bool EndsPartition(const MemberRecord& aSender) const;
   void PingSome(TimePoint aNow, Datagrams& aDatagrams);
   void PingNext(bool aNear, std::size_t aCount, TimePoint aNow,
                 Datagrams& aDatagrams);
@@ -121,6 +126,8 @@
   /** When the next roster is asked for, and how many were. */
   TimePoint mNextRoster = TimePoint::max();
   std::size_t mRosterAsks = 0;
+  /** No regained host is asked for its roster before. */
+  TimePoint mNextRegainedAsk;
   std::uint64_t mGeneration = 0;
 };
 
