--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -1,5 +1,6 @@
 #include "drivers/answer_parser.h"
 
+#include <cstdint>
 #include <utility>
 
 namespace papayawheel {
@@ -7,8 +8,16 @@
 
 constexpr int kFirstFinalStatus = 200;
 
-/** Larger answers are not taken. */
-constexpr std::size_t kMaxBody = 64U << 20U;
+/** Interim answers before the final one; more are no answer. */
+constexpr std::size_t kMostInterimAnswers = 8;
+
+/** What callbacks of the parser return. */
+constexpr int kGoOn = 0;
+constexpr int kNoBodyFollows = 1;
+constexpr int kStop = -1;
+
+/** The parser's length of a body whose length is not stated. */
+constexpr std::uint64_t kNoLength = ~std::uint64_t{0};
 
 AnswerParser& Owner(http_parser* aParser) {
   return *static_cast<AnswerParser*>(aParser->data);
@@ -16,7 +25,7 @@
 
 }  // namespace
 
-AnswerParser::AnswerParser() {
+AnswerParser::AnswerParser(const AnswerLimits& aLimits) : mLimits(aLimits) {
   http_parser_settings_init(&mSettings);
   mSettings.on_header_field = &AnswerParser::OnField;
   mSettings.on_header_value = &AnswerParser::OnValue;
@@ -30,6 +39,8 @@
   http_parser_init(&mParser, HTTP_RESPONSE);
   mParser.data = this;
   mResponse = std::make_shared<Response>();
+  mHeadBytes = 0;
+  mInterimAnswers = 0;
   mIsHead = aIsHead;
   mHasBegun = false;
   mInValue = false;
@@ -63,44 +74,65 @@
   return mComplete ? Result::Complete : Result::Malformed;
 }
 
+std::size_t AnswerParser::Held() const {
+  return mResponse == nullptr ? 0 : mHeadBytes + mResponse->mBody.size();
+}
+
 std::shared_ptr<Response> AnswerParser::Take() {
   return std::exchange(mResponse, nullptr);
 }
 
+bool AnswerParser::TakeHeadBytes(std::size_t aSize) {
+  mHeadBytes += aSize;
+  return mHeadBytes <= mLimits.mHead;
+}
+
 int AnswerParser::OnField(http_parser* aParser, const char* aData,
                           std::size_t aSize) {
   AnswerParser& self = Owner(aParser);
+  if (!self.TakeHeadBytes(aSize)) {
+    return kStop;
+  }
   HeaderList& headers = self.mResponse->mHeaders;
   if (self.mInValue || headers.empty()) {
     headers.emplace_back();
     self.mInValue = false;
   }
   headers.back().first.append(aData, aSize);
-  return 0;
+  return kGoOn;
 }
 
 int AnswerParser::OnValue(http_parser* aParser, const char* aData,
                           std::size_t aSize) {
   AnswerParser& self = Owner(aParser);
+  if (!self.TakeHeadBytes(aSize)) {
+    return kStop;
+  }
   self.mInValue = true;
   self.mResponse->mHeaders.back().second.append(aData, aSize);
-  return 0;
+  return kGoOn;
 }
 
 int AnswerParser::OnHeaders(http_parser* aParser) {
   AnswerParser& self = Owner(aParser);
   self.mResponse->mStatus = static_cast<int>(aParser->status_code);
-  return self.mIsHead ? 1 : 0;
+  if (self.mIsHead) {
+    return kNoBodyFollows;
+  }
+  // What is announced too large is not waited for.
+  const bool hasLength = aParser->content_length != kNoLength;
+  return hasLength && aParser->content_length > self.mLimits.mBody ? kStop
+                                                                   : kGoOn;
 }
 
 int AnswerParser::OnBody(http_parser* aParser, const char* aData,
                          std::size_t aSize) {
   AnswerParser& self = Owner(aParser);
-  if (self.mResponse->mBody.size() + aSize > kMaxBody) {
-    return 1;
+  if (self.mResponse->mBody.size() + aSize > self.mLimits.mBody) {
+    return kStop;
   }
   self.mResponse->mBody.append(aData, aSize);
-  return 0;
+  return kGoOn;
 }
 
 int AnswerParser::OnComplete(http_parser* aParser) {
@@ -108,13 +140,13 @@
   if (self.mResponse->mStatus < kFirstFinalStatus) {
     self.mResponse = std::make_shared<Response>();
     self.mInValue = false;
-    return 0;
+    return ++self.mInterimAnswers > kMostInterimAnswers ? kStop : kGoOn;
   }
   self.mComplete = true;
   self.mKeepsConnection = http_should_keep_alive(aParser) != 0;
   // What follows belongs to no request.
   http_parser_pause(aParser, 1);
-  return 0;
+  return kGoOn;
 }
 
 }  // namespace papayawheel
--- a/drivers/answer_parser.h
+++ b/drivers/answer_parser.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "core/outcome/response.h"
+#include "drivers/answer_limits.h"
 
 namespace papayawheel {
 
@@ -22,7 +23,7 @@
     Malformed,
   };
 
-  AnswerParser();
+  explicit AnswerParser(const AnswerLimits& aLimits = {});
 
   /** Prepares for the answer to a request.
    * @param aIsHead the answer has no body whatever its headers say. */
@@ -38,12 +39,16 @@
   /** The whole answer, once. */
   std::shared_ptr<Response> Take();
 
+  /** Bytes that are held of the answer so far. */
+  [[nodiscard]] std::size_t Held() const;
   /** Whether any byte of an answer has been read. */
   [[nodiscard]] bool HasBegun() const { return mHasBegun; }
   /** Whether the connection may carry another request. */
   [[nodiscard]] bool KeepsConnection() const { return mKeepsConnection; }
 
  private:
+  /** Counts bytes of the head; false if there are too many. */
+  bool TakeHeadBytes(std::size_t aSize);
   static int OnField(http_parser* aParser, const char* aData,
                      std::size_t aSize);
   static int OnValue(http_parser* aParser, const char* aData,
@@ -54,7 +59,12 @@
 
   http_parser mParser{};
   http_parser_settings mSettings{};
+  AnswerLimits mLimits;
   std::shared_ptr<Response> mResponse;
+  /** Bytes of names and values of the head and of trailers, with those of
+   * interim answers. */
+  std::size_t mHeadBytes = 0;
+  std::size_t mInterimAnswers = 0;
   bool mIsHead = false;
   bool mHasBegun = false;
   bool mInValue = false;
--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -42,9 +42,13 @@
 /** Bytes that are not acknowledged for this long end the connection. */
 constexpr unsigned kUnacknowledgedMillis = 1500;
 
+/** Late answers of earlier requests that are passed over while one is awaited;
+ * an endpoint that sends more is not sound. */
+constexpr std::size_t kMostLateAnswers = 4;
+
 struct Connection {
-  explicit Connection(asio::io_context& aContext)
-      : mSocket(aContext), mTimer(aContext) {}
+  Connection(asio::io_context& aContext, const AnswerLimits& aLimits)
+      : mSocket(aContext), mTimer(aContext), mParser(aLimits) {}
 
   asio::ip::tcp::socket mSocket;
   asio::steady_timer mTimer;
@@ -57,6 +61,9 @@
   EndpointClient::Id mRequest = 0;
   bool mWriting = false;
   bool mReading = false;
+  /** Bytes of an unfinished answer that are counted for it. */
+  std::size_t mHeld = 0;
+  std::size_t mLateAnswers = 0;
   SteadyTime mIdleSince;
   std::chrono::milliseconds mMostIdle{0};
   std::string mOutgoing;
@@ -92,7 +99,8 @@
 class EndpointClient::Impl
     : public std::enable_shared_from_this<EndpointClient::Impl> {
  public:
-  explicit Impl(asio::io_context& aContext) : mContext(aContext) {}
+  Impl(asio::io_context& aContext, const AnswerLimits& aLimits)
+      : mContext(aContext), mLimits(aLimits) {}
 
   Id Send(EndpointRequest aRequest, Callback aCallback) {
     const Id id = ++mLastId;
@@ -117,6 +125,7 @@
       return;
     }
     const ConnectionPtr connection = found->second.mConnection;
+    Hold(connection, 0);
     mPending.erase(found);
     Close(connection);
   }
@@ -170,7 +179,7 @@
   }
 
   void Connect(Id aId, Pending& aPending) {
-    const auto connection = std::make_shared<Connection>(mContext);
+    const auto connection = std::make_shared<Connection>(mContext, mLimits);
     aPending.mConnection = connection;
     connection->mRequest = aId;
     connection->mEndpoint = aPending.mRequest.mEndpoint;
@@ -235,7 +244,9 @@
     const EndpointRequest& request =
         mPending.at(aConnection->mRequest).mRequest;
     aConnection->mParser.Expect(request.mMethod == "HEAD");
+    aConnection->mLateAnswers = 0;
     aConnection->mOutgoing = RenderRequest(request);
+    mCounts.mBytesWritten += aConnection->mOutgoing.size();
     aConnection->mWriting = true;
     asio::async_write(aConnection->mSocket,
                       asio::buffer(aConnection->mOutgoing),
@@ -275,6 +286,7 @@
       }
       return;
     }
+    mCounts.mBytesRead += aSize;
     if (aError) {
       ReadEnded(aConnection, aError);
       return;
@@ -308,6 +320,12 @@
         return;
       }
       if (result == AnswerParser::Result::Incomplete) {
+        Hold(aConnection, aConnection->mParser.Held());
+        if (mHeld > mLimits.mTogether) {
+          End(aConnection->mRequest, EndpointOutcome::Garbled, nullptr,
+              "unfinished answers take too much memory");
+          return;
+        }
         Read(aConnection);
         return;
       }
@@ -321,6 +339,13 @@
     }
   }
 
+  /** Counts what a connection holds of an unfinished answer. */
+  void Hold(const ConnectionPtr& aConnection, std::size_t aBytes) {
+    mHeld += aBytes;
+    mHeld -= aConnection->mHeld;
+    aConnection->mHeld = aBytes;
+  }
+
   /** Handles a whole answer; true if it belongs to an earlier request. */
   bool TakeAnswer(const ConnectionPtr& aConnection, std::size_t aUsed,
                   std::size_t aSize) {
@@ -331,7 +356,8 @@
     const bool keeps = aConnection->mParser.KeepsConnection();
     if (echo.value_or(request.mEchoValue) != request.mEchoValue) {
       ++mCounts.mDroppedAnswers;
-      if (!keeps) {
+      ++aConnection->mLateAnswers;
+      if (!keeps || aConnection->mLateAnswers > kMostLateAnswers) {
         End(id, EndpointOutcome::Garbled, nullptr,
             "the answer belongs to another request");
         return false;
@@ -370,6 +396,7 @@
       return;
     }
     const ConnectionPtr connection = found->second.mConnection;
+    Hold(connection, 0);
     const Callback callback = std::move(found->second.mCallback);
     mPending.erase(found);
     if (aReusable) {
@@ -417,6 +444,9 @@
   }
 
   asio::io_context& mContext;
+  AnswerLimits mLimits;
+  /** Bytes of unfinished answers, of all connections. */
+  std::size_t mHeld = 0;
   Id mLastId = 0;
   std::unordered_map<Id, Pending> mPending;
   /** By endpoint, the one used last at the back. */
@@ -424,8 +454,9 @@
   EndpointClientCounts mCounts;
 };
 
-EndpointClient::EndpointClient(asio::io_context& aContext)
-    : mImpl(std::make_shared<Impl>(aContext)) {}
+EndpointClient::EndpointClient(asio::io_context& aContext,
+                               const AnswerLimits& aLimits)
+    : mImpl(std::make_shared<Impl>(aContext, aLimits)) {}
 
 EndpointClient::~EndpointClient() = default;
 
--- a/drivers/endpoint_client.h
+++ b/drivers/endpoint_client.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/outcome/response.h"
+#include "drivers/answer_limits.h"
 
 namespace papayawheel {
 
@@ -56,6 +57,8 @@
   std::uint64_t mOpened = 0;
   std::uint64_t mReused = 0;
   std::uint64_t mDroppedAnswers = 0;
+  std::uint64_t mBytesRead = 0;
+  std::uint64_t mBytesWritten = 0;
 };
 
 /** Sends HTTP/1.1 requests to endpoints over kept connections, on the thread
@@ -67,7 +70,8 @@
   using Id = std::uint64_t;
   using Callback = std::function<void(EndpointAnswer)>;
 
-  explicit EndpointClient(asio::io_context& aContext);
+  explicit EndpointClient(asio::io_context& aContext,
+                          const AnswerLimits& aLimits = {});
   ~EndpointClient();
   EndpointClient(const EndpointClient&) = delete;
   EndpointClient& operator=(const EndpointClient&) = delete;
--- a/tests/drivers/test_endpoint_client.cpp
+++ b/tests/drivers/test_endpoint_client.cpp
@@ -146,6 +146,20 @@
        {Outcome::Answered, Outcome::Answered},
        {"one", "two"},
        2},
+      {"a second copy comes late, when the next answer is due",
+       {Reply("1", "one"), Reply("1", "one") + Reply("2", "two")},
+       false,
+       {"1", "2"},
+       {Outcome::Answered, Outcome::Answered},
+       {"one", "two"},
+       1},
+      {"a second copy takes the place of the next answer",
+       {Reply("1", "one"), Reply("1", "one") + "no answer"},
+       false,
+       {"1", "2"},
+       {Outcome::Answered, Outcome::Garbled},
+       {"one", ""},
+       1},
       {"an answer without length ends with the connection",
        {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nall"},
        true,
@@ -205,6 +219,120 @@
   }
 }
 
+/** Sends a beginning and then the same text again and again until the other
+ * side closes the connection. */
+class EndlessEndpoint {
+ public:
+  EndlessEndpoint(asio::io_context& aContext, std::string aBeginning,
+                  const std::string& aText)
+      : mAcceptor(aContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        mSocket(aContext),
+        mBeginning(std::move(aBeginning)) {
+    constexpr std::size_t kPiece = 4096;
+    while (mPiece.size() < kPiece) {
+      mPiece += aText;
+    }
+    mAcceptor.async_accept(mSocket, [this](asio::error_code aError) {
+      if (!aError) {
+        Write(mBeginning);
+      }
+    });
+  }
+
+  [[nodiscard]] std::string Address() const {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+  [[nodiscard]] bool WasClosed() const { return mClosed; }
+
+ private:
+  void Write(const std::string& aText) {
+    asio::async_write(mSocket, asio::buffer(aText),
+                      [this](asio::error_code aError, std::size_t) {
+                        mClosed = static_cast<bool>(aError);
+                        if (!mClosed) {
+                          Write(mPiece);
+                        }
+                      });
+  }
+
+  tcp::acceptor mAcceptor;
+  tcp::socket mSocket;
+  std::string mBeginning;
+  std::string mPiece;
+  bool mClosed = false;
+};
+
+TEST_CASE("endpoint client: bytes without end are cut off") {
+  struct Case {
+    const char* mWhat;
+    std::string mBeginning;
+    std::string mText;
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<Case> cases = {
+      {"empty lines", "", "\r\n"},
+      {"a reason", "HTTP/1.1 200 ", "very "},
+      {"a header's name", head, "x"},
+      {"a header's value", head + "X: ", "y"},
+      {"headers", head, "X: y\r\n"},
+      {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"answers to others", "",
+       "HTTP/1.1 200 OK\r\nRequest-Id: 0\r\nContent-Length: 2\r\n\r\nok"},
+      {"a body without length", head + "\r\n", "z"},
+      {"a huge length", head + "Content-Length: 9223372036854775808\r\n\r\n",
+       "z"},
+      {"a length that overflows",
+       head + "Content-Length: 99999999999999999999999\r\n\r\n", "z"},
+      {"chunks", chunked, "1\r\nz\r\n"},
+      {"a huge chunk", chunked + "8000000000000000\r\n", "z"},
+      {"a chunk size", chunked, "0"},
+      {"a chunk extension", chunked + "5;", "e"},
+      {"trailers", chunked + "0\r\n", "X: y\r\n"},
+      {"no HTTP at all", "", "garbage "},
+  };
+  AnswerLimits limits;
+  limits.mHead = 8U << 10U;
+  limits.mBody = 128U << 10U;
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    asio::io_context context;
+    EndlessEndpoint endpoint(context, one.mBeginning, one.mText);
+    EndpointClient client(context, limits);
+    const auto answers = SendAll(context, client, endpoint.Address(), {"1"});
+    CHECK(answers.front().mOutcome == EndpointOutcome::Garbled);
+    CHECK_FALSE(answers.front().mReason.empty());
+    // No more is read than the limits let, within a buffer or two.
+    CHECK(client.Counts().mBytesRead <= (1U << 20U));
+    context.restart();
+    context.run();
+    CHECK(endpoint.WasClosed());
+  }
+}
+
+TEST_CASE("endpoint client: unfinished answers share one bound") {
+  constexpr std::size_t kEndpoints = 8;
+  AnswerLimits limits;
+  limits.mBody = 1U << 20U;
+  limits.mTogether = 256U << 10U;
+  asio::io_context context;
+  EndpointClient client(context, limits);
+  std::vector<std::unique_ptr<EndlessEndpoint>> endpoints;
+  std::size_t garbled = 0;
+  for (std::size_t index = 0; index < kEndpoints; ++index) {
+    endpoints.push_back(std::make_unique<EndlessEndpoint>(
+        context, "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\n", "z"));
+    client.Send(MakeRequest(endpoints.back()->Address(), "1"),
+                [&garbled](const EndpointAnswer& aAnswer) {
+                  garbled += aAnswer.mOutcome == EndpointOutcome::Garbled;
+                });
+  }
+  context.run();
+  CHECK(garbled == kEndpoints);
+  // Each would have been let read as much alone.
+  CHECK(client.Counts().mBytesRead < 2 * kEndpoints * limits.mTogether);
+}
+
 TEST_CASE(
     "endpoint client: a connection that was made in time is not given up "
     "by a process that was held up") {
