Endpoints' own word is kept, downloads may be repeated, questions for loads have a budget

Ruled out: known fullness alone, which saves little, as the endpoints that drain are the ones asked. Change: notices of an endpoint hold for its start, also if the store drops and lists it again; requests wait for the end of a pause that it asked for, or are refused with it; a request earns 1.8 questions, and half of the bound is shared by the hosts that serve, saved up for 4 s; an endpoint without a fresh report is taken to be like the others lately, not idle.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -13,8 +13,11 @@
 /** What a report says of the pace of a machine counts half after this. */
 constexpr milliseconds kPaceHalfLife{80};
 
-/** The pace that is believed of a machine without a fresh report. */
-constexpr double kUsualPace = 1.6;
+/** The pace that is believed of machines before any has told its own. */
+constexpr double kFirstPace = 1.6;
+
+/** Weight of the newest report in what reports usually say. */
+constexpr double kReportWeight = 0.05;
 
 /** A report is as good as a new one for this long. */
 constexpr milliseconds kFreshFor{12};
@@ -45,6 +48,9 @@
 constexpr milliseconds kFirstPause{100};
 constexpr std::uint32_t kMostDoublings = 4;
 
+/** Endpoints whose notices are remembered. */
+constexpr std::size_t kMostSaid = 4096;
+
 /** An endpoint of another data centre is chosen if those near take longer by
  * more than this part: bytes between data centres cost more than a short
  * wait. */
@@ -85,7 +91,9 @@
 }
 
 EndpointPool::EndpointPool(std::string aDataCentre, std::uint32_t aSeed)
-    : mDataCentre(std::move(aDataCentre)), mRandom(aSeed) {}
+    : mDataCentre(std::move(aDataCentre)),
+      mRandom(aSeed),
+      mUsualPace(kFirstPace) {}
 
 void EndpointPool::Configure(const EndpointMap& aEntries,
                              const std::string& aService, TimePoint aNow) {
@@ -102,7 +110,7 @@
       state = std::move(known->second);
     } else {
       state.mReportedAt = aNow - kOldReport;
-      state.mPace = kUsualPace;
+      state.mPace = mUsualPace;
       state.mSlownessAt = aNow;
       state.mFailuresAt = aNow;
       state.mUsableFrom = aNow;
@@ -114,11 +122,54 @@
       state.mWarmUntil = aNow + entry.mWarmUpLeft;
     }
     state.mEntry = entry;
+    if (!stays) {
+      Recall(state);
+    }
     next.emplace(id, std::move(state));
   }
   mEndpoints = std::move(next);
 }
 
+void EndpointPool::Recall(State& aState) const {
+  const auto said = mSaid.find(aState.mEntry.mId);
+  if (said != mSaid.end() && IsSameStart(said->second.mStart, aState.mEntry)) {
+    aState.mLeaving = said->second.mLeaving;
+    aState.mStayAwayUntil = said->second.mStayAwayUntil;
+  }
+}
+
+void EndpointPool::NoteNotice(const std::string& aId,
+                              const EndpointNotice& aNotice, TimePoint aNow) {
+  const auto found = mEndpoints.find(aId);
+  const bool saysNothing =
+      !aNotice.mLeaving && aNotice.mStayAway <= Duration::zero();
+  if (found == mEndpoints.end() || saysNothing) {
+    return;
+  }
+  State& state = found->second;
+  state.mLeaving = state.mLeaving || aNotice.mLeaving;
+  state.mStayAwayUntil =
+      std::max<TimePoint>(state.mStayAwayUntil, aNow + aNotice.mStayAway);
+  if (!mSaid.contains(aId)) {
+    ForgetSaid(aNow);
+  }
+  mSaid[aId] = Said{state.mEntry, state.mLeaving, state.mStayAwayUntil};
+}
+
+void EndpointPool::ForgetSaid(TimePoint aNow) {
+  if (mSaid.size() < kMostSaid) {
+    return;
+  }
+  std::erase_if(mSaid, [&](const auto& aEntry) {
+    return !aEntry.second.mLeaving && aEntry.second.mStayAwayUntil <= aNow;
+  });
+  // Those that are not published are the least likely to come back.
+  for (auto it = mSaid.begin();
+       it != mSaid.end() && mSaid.size() >= kMostSaid;) {
+    it = mEndpoints.contains(it->first) ? std::next(it) : mSaid.erase(it);
+  }
+}
+
 EndpointPool::Ranked EndpointPool::Score(const State& aState, Duration aWork,
                                          TimePoint aNow) const {
   Ranked entry{&aState, 0, Seconds(aState, aWork, aNow)};
@@ -176,7 +227,8 @@
     std::size_t aMost, TimePoint aNow) const {
   std::vector<Candidate> candidates;
   for (const Ranked& entry : Rank(aExcluded, aWork, aMost, aNow)) {
-    if (Since(entry.mState->mReportedAt, aNow) > kFreshFor) {
+    const bool isOld = Since(entry.mState->mReportedAt, aNow) > kFreshFor;
+    if (isOld && !IsKnownFull(*entry.mState, aWork, aNow)) {
       candidates.push_back(
           Candidate{entry.mState->mEntry.mId, entry.mState->mEntry.mAddress});
     }
@@ -217,10 +269,13 @@
 
 void EndpointPool::TakeSample(State& aState, const LoadSample& aSample,
                               TimePoint aNow) {
-  const double total = aSample.mRunning + aSample.mQueued;
+  aState.mReported = aSample.mRunning + aSample.mQueued;
   aState.mOthers =
-      std::max(0.0, total - static_cast<double>(aState.mOwn.size()));
+      std::max(0.0, aState.mReported - static_cast<double>(aState.mOwn.size()));
   aState.mPace = aSample.mPace;
+  const double slots = std::max<double>(1, aState.mEntry.mSlots);
+  mUsualOthers += (aState.mOthers / slots - mUsualOthers) * kReportWeight;
+  mUsualPace += (aState.mPace - mUsualPace) * kReportWeight;
   aState.mFailuresInRow = 0;
   mTelling = Telling::Tells;
   aState.mReportedAt = aNow;
@@ -288,18 +343,41 @@
       }));
 }
 
+std::optional<TimePoint> EndpointPool::FirstReturn(TimePoint aNow) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, state] : mEndpoints) {
+    const bool returns = !state.mEntry.mDraining && !state.mLeaving &&
+                         state.mStayAwayUntil > aNow;
+    if (returns && (!first || state.mStayAwayUntil < *first)) {
+      first = state.mStayAwayUntil;
+    }
+  }
+  return first;
+}
+
+bool EndpointPool::IsKnownFull(const State& aState, Duration aWork,
+                               TimePoint aNow) const {
+  const double slots = std::max<double>(1, aState.mEntry.mSlots);
+  const double excess = aState.mReported + 1 - slots;
+  const double seconds = ToSeconds(aWork) * aState.mPace * excess / slots;
+  return ToSeconds(aNow - aState.mReportedAt) < seconds;
+}
+
 bool EndpointPool::IsUsable(const State& aState,
                             const std::vector<std::string>& aExcluded,
                             TimePoint aNow) const {
+  const bool wantsWork = !aState.mEntry.mDraining && !aState.mLeaving &&
+                         aNow >= aState.mStayAwayUntil;
   const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
                                   aState.mEntry.mId) != aExcluded.end();
-  return !excluded && !aState.mEntry.mDraining && aNow >= aState.mUsableFrom;
+  return !excluded && wantsWork && aNow >= aState.mUsableFrom;
 }
 
 double EndpointPool::Load(const State& aState, Duration aWork,
                           TimePoint aNow) const {
+  const double usual = mUsualOthers * aState.mEntry.mSlots;
   const double others =
-      Decayed(aState.mOthers, 0, Since(aState.mReportedAt, aNow),
+      Decayed(aState.mOthers, usual, Since(aState.mReportedAt, aNow),
               std::max<Duration>(aWork, milliseconds(20)));
   return static_cast<double>(aState.mOwn.size()) + others;
 }
@@ -307,7 +385,7 @@
 double EndpointPool::Slowdown(const State& aState, Duration aWork,
                               TimePoint aNow) const {
   const Duration age = Since(aState.mReportedAt, aNow);
-  double factor = Decayed(aState.mPace, kUsualPace, age, kPaceHalfLife);
+  double factor = Decayed(aState.mPace, mUsualPace, age, kPaceHalfLife);
   factor *= Decayed(aState.mSlowness, 1, Since(aState.mSlownessAt, aNow),
                     kSlownessHalfLife);
   if (aNow < aState.mWarmUntil) {
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -10,6 +10,7 @@
 
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_entry.h"
+#include "core/endpoints/endpoint_notice.h"
 #include "core/endpoints/load_sample.h"
 
 namespace papayawheel {
@@ -73,7 +74,8 @@
       const std::vector<std::string>& aExcluded, Duration aWork,
       TimePoint aNow) const;
 
-  /** The endpoints that Pick() would prefer but whose last report is old.
+  /** The endpoints that Pick() would prefer but whose last report is old, but
+   * for those that cannot have worked off since then what they told.
    * @param aMost how many to name, those with fresh reports included. */
   [[nodiscard]] std::vector<Candidate> StaleCandidates(
       const std::vector<std::string>& aExcluded, Duration aWork,
@@ -87,6 +89,11 @@
   void NoteSample(const std::string& aId, const LoadSample& aSample,
                   TimePoint aNow);
 
+  /** An endpoint asked for something on an answer. What it said holds for its
+   * present start, whatever is published of it. */
+  void NoteNotice(const std::string& aId, const EndpointNotice& aNotice,
+                  TimePoint aNow);
+
   /** An endpoint that was asked for its load did not answer. */
   void NoteUnanswered(const std::string& aId, TimePoint aNow);
 
@@ -103,7 +110,10 @@
   /** Endpoints that may be chosen now, but for some. */
   [[nodiscard]] std::size_t Usable(const std::vector<std::string>& aExcluded,
                                    TimePoint aNow) const;
-  [[nodiscard]] bool IsEmpty() const { return mEndpoints.empty(); }
+  /** When the first of the endpoints that asked to be left alone for a while
+   * may be chosen again; nothing if none of them will be. */
+  [[nodiscard]] std::optional<TimePoint> FirstReturn(TimePoint aNow) const;
+  [[nodiscard]] std::size_t Size() const { return mEndpoints.size(); }
 
  private:
   struct State {
@@ -112,6 +122,8 @@
     std::vector<TimePoint> mOwn;
     /** Requests of other hosts, from the last report. */
     double mOthers = 0;
+    /** All requests, from the last report. */
+    double mReported = 0;
     double mPace = 1;
     TimePoint mReportedAt;
     /** Answers take this many times as long as load and pace explain. */
@@ -123,11 +135,21 @@
     std::uint32_t mFailuresInRow = 0;
     /** No request is sent before this time. */
     TimePoint mUsableFrom;
+    /** What it asked for. */
+    bool mLeaving = false;
+    TimePoint mStayAwayUntil;
     TimePoint mWarmUntil;
     /** Part by which this host likes it less than others that are as good. */
     double mReluctance = 0;
   };
 
+  /** What one start of an endpoint asked for. */
+  struct Said {
+    EndpointEntry mStart;
+    bool mLeaving = false;
+    TimePoint mStayAwayUntil;
+  };
+
   /** Whether endpoints of the service tell their load. */
   enum class Telling { Unknown, Tells, Silent };
 
@@ -144,6 +166,10 @@
       const std::vector<std::string>& aExcluded, Duration aWork,
       std::size_t aMost, TimePoint aNow) const;
   void TakeSample(State& aState, const LoadSample& aSample, TimePoint aNow);
+  /** Whether the last report said that it is full, and so lately that it must
+   * still be. */
+  [[nodiscard]] bool IsKnownFull(const State& aState, Duration aWork,
+                                 TimePoint aNow) const;
   [[nodiscard]] bool IsUsable(const State& aState,
                               const std::vector<std::string>& aExcluded,
                               TimePoint aNow) const;
@@ -159,11 +185,22 @@
                         TimePoint aNow);
   /** An endpoint that was asked told nothing. */
   void NoteSilence();
+  /** Applies what an endpoint asked for before it was published anew. */
+  void Recall(State& aState) const;
+  /** Makes room for what one more endpoint asks for. */
+  void ForgetSaid(TimePoint aNow);
   void NoteFailure(State& aState, bool aBreaksOff, TimePoint aNow);
 
   std::string mDataCentre;
   std::minstd_rand mRandom;
+  /** What endpoints usually tell: requests of other hosts for each slot, and
+   * the pace. Those without a fresh report are taken to be like this. */
+  double mUsualOthers = 0;
+  double mUsualPace;
   std::map<std::string, State> mEndpoints;
+  /** By id. Outlives the entries: a store that lags lists endpoints that have
+   * left. */
+  std::map<std::string, Said> mSaid;
   Telling mTelling = Telling::Unknown;
 };
 
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -35,6 +35,7 @@
 struct AttemptReply {
   AttemptResult mResult = AttemptResult::Lost;
   std::optional<LoadSample> mSample;
+  EndpointNotice mNotice;
   /** Set when the endpoint answered. */
   std::shared_ptr<const Response> mResponse;
 };
@@ -73,6 +74,13 @@
 /** Names one question for an endpoint's load within one process. */
 using ProbeId = std::uint64_t;
 
+/** What an endpoint answered to a question for its load. */
+struct ProbeReply {
+  /** Nothing if it did not tell. */
+  std::optional<LoadSample> mSample;
+  EndpointNotice mNotice;
+};
+
 /** Ask an endpoint for its load. */
 struct StartProbe {
   ProbeId mProbe = 0;
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -26,7 +26,7 @@
 constexpr milliseconds kLongestRepeatWait{30};
 
 /** Endpoints asked in one round, and the most with many calls waiting. */
-constexpr std::size_t kLeastAsked = 3;
+constexpr std::size_t kLeastAsked = 2;
 constexpr std::size_t kMostAsked = 6;
 /** Rounds that follow each other at once. */
 constexpr std::uint32_t kQuickRounds = 2;
@@ -64,12 +64,12 @@
   LeaveQueue(aId, aCall);
   aCall.mPurpose = aPurpose;
   aCall.mIfNotSent = aIfNotSent;
-  if (service.mPool.Usable({}, aNow) == 0) {
+  if (!MayFindEndpoint(service, aCall, aNow)) {
     GiveUp(aId, aCall,
            aCall.mTried.empty() ? ErrorKind::NoEndpoint : aIfNotSent, aActions);
     return;
   }
-  const Duration longest = LongestWait(aCall);
+  const Duration longest = LongestWait(aCall, aNow);
   if (aPurpose == Purpose::First && ExpectedWait(service, aCall) > longest) {
     Fail(aId, ErrorKind::Overloaded, aActions);
     return;
@@ -91,7 +91,16 @@
   }
 }
 
-Duration GatewayEngine::LongestWait(const Call& aCall) const {
+bool GatewayEngine::MayFindEndpoint(const ServiceState& aService,
+                                    const Call& aCall, TimePoint aNow) const {
+  if (aService.mPool.Usable({}, aNow) > 0) {
+    return true;
+  }
+  const auto returns = aService.mPool.FirstReturn(aNow);
+  return returns && *returns <= aNow + LongestWait(aCall, aNow);
+}
+
+Duration GatewayEngine::LongestWait(const Call& aCall, TimePoint aNow) const {
   // One that was shed by the only endpoint waits for it like a first one.
   const bool waitsAgain =
       aCall.mPurpose == Purpose::Retry && aCall.mAvoided.empty();
@@ -99,8 +108,10 @@
     return kLongestRepeatWait;
   }
   const Duration work = WorkOf(aCall.mRoute);
+  const auto passed =
+      std::chrono::duration_cast<Duration>(aNow - aCall.mArrivedAt);
   const Duration left =
-      Scaled(aCall.mRoute.mTargetLatency, 1 - kWaitReserve) - work;
+      Scaled(aCall.mRoute.mTargetLatency, 1 - kWaitReserve) - work - passed;
   return std::max<Duration>(left, kRoundTime);
 }
 
@@ -119,10 +130,11 @@
     Call& call = mCalls.at(id);
     const auto choice =
         service.mPool.Pick(call.mAvoided, WorkOf(call.mRoute), aNow);
-    const bool good = choice && choice->mSlowdown < kGoodSlowdown &&
-                      (service.mPool.IsFresh(choice->mId, aNow) ||
-                       HealthPath(aService).empty());
-    if (!good) {
+    // What cannot be asked for is taken as believed.
+    const bool known = choice && (service.mPool.IsFresh(choice->mId, aNow) ||
+                                  HealthPath(aService).empty() ||
+                                  service.mProbeBudget.IsSpent(aNow));
+    if (!known || choice->mSlowdown >= kGoodSlowdown) {
       break;
     }
     service.mQueue.Take(id);
@@ -160,9 +172,10 @@
   const Call& first = mCalls.at(service.mQueue.Front()->mId);
   const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
                                       kLeastAsked, kMostAsked);
-  const auto candidates = service.mPool.StaleCandidates(
+  auto candidates = service.mPool.StaleCandidates(
       first.mAvoided, WorkOf(first.mRoute), most, aNow);
   if (!healthPath.empty()) {
+    candidates.resize(service.mProbeBudget.Take(candidates.size(), aNow));
     for (const EndpointPool::Candidate& candidate : candidates) {
       const ProbeId probe = ++mLastProbe;
       mProbes[probe] = Probe{aService, candidate.mId};
@@ -187,8 +200,8 @@
   }
 }
 
-GatewayActions GatewayEngine::ProbeEnded(
-    ProbeId aId, const std::optional<LoadSample>& aSample, TimePoint aNow) {
+GatewayActions GatewayEngine::ProbeEnded(ProbeId aId, const ProbeReply& aReply,
+                                         TimePoint aNow) {
   GatewayActions actions;
   mNow = aNow;
   const auto found = mProbes.find(aId);
@@ -199,8 +212,9 @@
   mProbes.erase(found);
   ServiceState& service = ServiceOf(probe.mService);
   std::erase(service.mAsking, aId);
-  if (aSample) {
-    service.mPool.NoteSample(probe.mEndpoint, *aSample, aNow);
+  service.mPool.NoteNotice(probe.mEndpoint, aReply.mNotice, aNow);
+  if (aReply.mSample) {
+    service.mPool.NoteSample(probe.mEndpoint, *aReply.mSample, aNow);
   } else {
     service.mPool.NoteUnanswered(probe.mEndpoint, aNow);
   }
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -57,6 +57,18 @@
   }
   for (auto& [name, service] : mServices) {
     service.mPool.Configure(*mView->mEndpoints, name, aNow);
+    service.mProbeBudget.Configure(mProbeTerms, mProbeSharers,
+                                   service.mPool.Size(), aNow);
+  }
+}
+
+void GatewayEngine::SetProbeBudget(const ProbeBudgetTerms& aTerms,
+                                   std::size_t aSharers, TimePoint aNow) {
+  mProbeTerms = aTerms;
+  mProbeSharers = aSharers;
+  for (auto& [name, service] : mServices) {
+    service.mProbeBudget.Configure(aTerms, aSharers, service.mPool.Size(),
+                                   aNow);
   }
 }
 
@@ -130,7 +142,9 @@
   call.mDeadline = aNow + std::min(aRequest.mPatience.value_or(route->mTimeout),
                                    route->mTimeout);
   call.mService = mSplit.Next(*route);
-  ServiceOf(call.mService).mBudget.NoteRequest(aNow);
+  ServiceState& service = ServiceOf(call.mService);
+  service.mBudget.NoteRequest(aNow);
+  service.mProbeBudget.NoteRequest(aNow);
   mTimers.emplace(call.mDeadline, Timer{TimerKind::Deadline, aId});
   if (!mTrusted) {
     call.mHeld = true;
@@ -201,6 +215,7 @@
   ServiceOf(service).mPool.Finished(attempt.mEndpoint, aReply.mResult, failed,
                                     aReply.mSample, work, attempt.mSentAt,
                                     aNow);
+  ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
   switch (aReply.mResult) {
     case AttemptResult::Answered:
       mCrashes.NoteAlive(attempt.mEndpoint);
@@ -312,7 +327,7 @@
     if (timer.mKind == TimerKind::ProbeEnd) {
       if (mProbes.contains(timer.mProbe)) {
         actions.emplace_back(CancelProbe{timer.mProbe});
-        const auto late = ProbeEnded(timer.mProbe, std::nullopt, aNow);
+        const auto late = ProbeEnded(timer.mProbe, ProbeReply{}, aNow);
         actions.insert(actions.end(), late.begin(), late.end());
       }
       continue;
@@ -412,7 +427,16 @@
     return kHoldTime;
   }
   const double spread = std::uniform_real_distribution<double>(1, 2)(mRandom);
-  return Scaled(target, kRetryAfterPart * spread);
+  const Duration usual = Scaled(target, kRetryAfterPart * spread);
+  const auto service = mServices.find(aCall.mService);
+  if (service == mServices.end() ||
+      service->second.mPool.Usable({}, mNow) > 0) {
+    return usual;
+  }
+  // All endpoints asked to be left alone: the first one says until when.
+  const auto returns = service->second.mPool.FirstReturn(mNow);
+  return returns ? usual + std::chrono::duration_cast<Duration>(*returns - mNow)
+                 : usual;
 }
 
 }  // namespace papayawheel
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -15,6 +15,7 @@
 #include "core/gateway/crash_watch.h"
 #include "core/gateway/fleet_retry_budget.h"
 #include "core/gateway/gateway_call.h"
+#include "core/gateway/probe_budget.h"
 #include "core/gateway/typical_time.h"
 #include "core/routes/weighted_split.h"
 #include "core/routing/dispatch_queue.h"
@@ -44,6 +45,10 @@
   /** The bound on repeats and the hosts that share it. */
   void SetRetryBudget(const RetryBudgetTerms& aTerms, std::size_t aHosts);
 
+  /** The bound on questions for loads and the hosts that share it. */
+  void SetProbeBudget(const ProbeBudgetTerms& aTerms, std::size_t aSharers,
+                      TimePoint aNow);
+
   /** Whether the view may be acted on; while it may not, requests wait for a
    * moment. */
   GatewayActions SetTrusted(bool aTrusted, TimePoint aNow);
@@ -60,8 +65,7 @@
                               TimePoint aNow);
 
   /** An endpoint told its load, or did not. */
-  GatewayActions ProbeEnded(ProbeId aId,
-                            const std::optional<LoadSample>& aSample,
+  GatewayActions ProbeEnded(ProbeId aId, const ProbeReply& aReply,
                             TimePoint aNow);
 
   /** The caller has closed its connection. */
@@ -138,6 +142,7 @@
         : mPool(aDataCentre, aSeed) {}
     EndpointPool mPool;
     FleetRetryBudget mBudget;
+    ProbeBudget mProbeBudget;
     /** Calls that wait until a good endpoint is found. */
     DispatchQueue mQueue{};
     /** Questions for loads that the round waits for. */
@@ -182,7 +187,10 @@
   void QueueEnded(CallId aId, Call& aCall, TimePoint aNow,
                   GatewayActions& aActions);
   /** How long a call may wait for a good endpoint. */
-  [[nodiscard]] Duration LongestWait(const Call& aCall) const;
+  [[nodiscard]] Duration LongestWait(const Call& aCall, TimePoint aNow) const;
+  /** Whether an endpoint takes requests, or will while the call may wait. */
+  [[nodiscard]] bool MayFindEndpoint(const ServiceState& aService,
+                                     const Call& aCall, TimePoint aNow) const;
   [[nodiscard]] Duration ExpectedWait(const ServiceState& aService,
                                       const Call& aCall) const;
   /** Takes a repeat from the budget if the call needs one. */
@@ -213,6 +221,8 @@
   std::shared_ptr<const RoutingView> mView;
   RetryBudgetTerms mBudgetTerms;
   std::size_t mHosts = 1;
+  ProbeBudgetTerms mProbeTerms;
+  std::size_t mProbeSharers = 1;
   bool mTrusted = false;
   bool mTaking = true;
   TimePoint mNow;
--- /dev/null
+++ b/core/gateway/probe_budget.cpp
@@ -0,0 +1,67 @@
+#include "core/gateway/probe_budget.h"
+
+#include <algorithm>
+
+namespace papayawheel {
+namespace {
+
+/** Part of the bound that is used, so that hosts which do not know each other
+ * yet stay below it. */
+constexpr double kUsedPart = 0.5;
+
+/** Seconds for which the rate may be saved up. */
+constexpr double kSavedSeconds = 4;
+
+/** Questions that each request earns, and the most that are kept. */
+constexpr double kPerRequest = 1.8;
+constexpr double kMostEarned = 12;
+
+/** Part of the rate that is earned without requests: those that wait long are
+ * not left without news. */
+constexpr double kUnearnedPart = 0.1;
+
+}  // namespace
+
+void ProbeBudget::Configure(const ProbeBudgetTerms& aTerms,
+                            std::size_t aSharers, std::size_t aEndpoints,
+                            TimePoint aNow) {
+  Refill(aNow);
+  const double sharers =
+      static_cast<double>(std::max<std::size_t>(1, aSharers));
+  mRate = kUsedPart * aTerms.mPerEndpoint * static_cast<double>(aEndpoints) /
+          sharers;
+  const bool isFirst = mMost == 0;
+  mMost = std::max(1.0, mRate * kSavedSeconds);
+  mLeft = isFirst ? mMost : std::min(mLeft, mMost);
+  mEarned = isFirst ? kMostEarned : mEarned;
+}
+
+void ProbeBudget::NoteRequest(TimePoint aNow) {
+  Refill(aNow);
+  mEarned = std::min(kMostEarned, mEarned + kPerRequest);
+}
+
+std::size_t ProbeBudget::Take(std::size_t aWanted, TimePoint aNow) {
+  Refill(aNow);
+  const double allowed = std::max(0.0, std::min(mLeft, mEarned));
+  const std::size_t taken =
+      std::min(aWanted, static_cast<std::size_t>(allowed));
+  mLeft -= static_cast<double>(taken);
+  mEarned -= static_cast<double>(taken);
+  return taken;
+}
+
+bool ProbeBudget::IsSpent(TimePoint aNow) {
+  Refill(aNow);
+  return std::min(mLeft, mEarned) < 1;
+}
+
+void ProbeBudget::Refill(TimePoint aNow) {
+  const double passed =
+      std::chrono::duration<double>(aNow - mRefilledAt).count();
+  mRefilledAt = aNow;
+  mLeft = std::min(mMost, mLeft + passed * mRate);
+  mEarned = std::min(kMostEarned, mEarned + passed * mRate * kUnearnedPart);
+}
+
+}  // namespace papayawheel
--- a/model/gateway_model.cpp
+++ b/model/gateway_model.cpp
@@ -42,6 +42,8 @@
         fmt::format("dc{}", index % mSettings.mDataCentres),
         static_cast<std::uint32_t>(mRandom()));
     host.mEngine->SetRetryBudget(mSettings.mBudget, mSettings.mHosts);
+    host.mEngine->SetProbeBudget(mSettings.mProbeBudget, mSettings.mHosts,
+                                 mEvents.Now());
     host.mEngine->Apply(view, mEvents.Now());
     host.mEngine->SetTrusted(true, mEvents.Now());
     mHosts.push_back(std::move(host));
@@ -212,12 +214,12 @@
     if (endpoint.IsSilent()) {
       return;
     }
-    std::optional<LoadSample> sample;
+    ProbeReply reply;
     if (!endpoint.IsDown()) {
-      sample = endpoint.Load();
+      reply.mSample = endpoint.Load();
     }
-    mEvents.After(mSettings.mDelay, [this, aHost, aProbe, sample] {
-      Act(aHost, mHosts.at(aHost).mEngine->ProbeEnded(aProbe.mProbe, sample,
+    mEvents.After(mSettings.mDelay, [this, aHost, aProbe, reply] {
+      Act(aHost, mHosts.at(aHost).mEngine->ProbeEnded(aProbe.mProbe, reply,
                                                       mEvents.Now()));
     });
   });
--- a/model/gateway_model.h
+++ b/model/gateway_model.h
@@ -47,6 +47,7 @@
   EndpointTraits mTraits;
   std::vector<ModelClass> mClasses;
   RetryBudgetTerms mBudget{0.2, 75, std::chrono::seconds(10)};
+  ProbeBudgetTerms mProbeBudget;
   std::uint32_t mSeed = 1;
   /** One way between a host and an endpoint. */
   Duration mDelay = std::chrono::microseconds(700);
--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -26,6 +26,19 @@
 
 constexpr std::int64_t kMostPatienceMillis = 3'600'000;
 
+/** What an endpoint asks for by the headers of an answer. */
+EndpointNotice ReadNotice(const Response& aResponse) {
+  EndpointNotice notice;
+  const auto leaving = FindHeader(aResponse.mHeaders, platform::kLeavingHeader);
+  notice.mLeaving = leaving && *leaving == "1";
+  const auto retryAfter =
+      FindHeader(aResponse.mHeaders, platform::kRetryAfterHeader);
+  if (aResponse.mStatus == http_status::kUnavailable && retryAfter) {
+    notice.mStayAway = platform::ParseRetryAfter(*retryAfter);
+  }
+  return notice;
+}
+
 bool IsSetHere(const std::string& aName) {
   return IsSameName(aName, platform::kTimeLeftHeader) ||
          IsSameName(aName, platform::kExpectedEndpointHeader) ||
@@ -90,18 +103,22 @@
   return request;
 }
 
-std::optional<LoadSample> ReadProbeAnswer(const std::string& aEndpoint,
-                                          const EndpointAnswer& aAnswer) {
+ProbeReply ReadProbeAnswer(const std::string& aEndpoint,
+                           const EndpointAnswer& aAnswer) {
+  ProbeReply reply;
   if (aAnswer.mOutcome != EndpointOutcome::Answered) {
-    return std::nullopt;
+    return reply;
   }
   const HeaderList& headers = aAnswer.mResponse->mHeaders;
   const auto endpoint = FindHeader(headers, platform::kEndpointIdHeader);
-  const auto load = FindHeader(headers, platform::kLoadHeader);
-  if (endpoint.value_or(aEndpoint) != aEndpoint || !load) {
-    return std::nullopt;
+  if (endpoint.value_or(aEndpoint) != aEndpoint) {
+    return reply;
   }
-  return platform::ParseLoad(*load);
+  reply.mNotice = ReadNotice(*aAnswer.mResponse);
+  if (const auto load = FindHeader(headers, platform::kLoadHeader)) {
+    reply.mSample = platform::ParseLoad(*load);
+  }
+  return reply;
 }
 
 AttemptReply ReadEndpointAnswer(const EndpointAnswer& aAnswer) {
@@ -123,6 +140,10 @@
   if (const auto load = FindHeader(response.mHeaders, platform::kLoadHeader)) {
     reply.mSample = platform::ParseLoad(*load);
   }
+  // Another endpoint that has taken over the address speaks for itself only.
+  if (response.mStatus != http_status::kMisdirected) {
+    reply.mNotice = ReadNotice(response);
+  }
   if (FindHeader(response.mHeaders, platform::kNotRunHeader) ||
       response.mStatus == http_status::kMisdirected) {
     reply.mResult = AttemptResult::NotExecuted;
--- a/servers/gateway_messages.h
+++ b/servers/gateway_messages.h
@@ -16,10 +16,10 @@
 /** Writes the question for an endpoint's load. */
 EndpointRequest WriteProbe(const StartProbe& aProbe);
 
-/** The load that the answer to a probe tells; nothing if it tells none, or if
- * another endpoint has the address now. */
-std::optional<LoadSample> ReadProbeAnswer(const std::string& aEndpoint,
-                                          const EndpointAnswer& aAnswer);
+/** What the answer to a probe tells; nothing if another endpoint has the
+ * address now. */
+ProbeReply ReadProbeAnswer(const std::string& aEndpoint,
+                           const EndpointAnswer& aAnswer);
 
 /** What the end of an attempt means. */
 AttemptReply ReadEndpointAnswer(const EndpointAnswer& aAnswer);
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -281,8 +281,8 @@
   const auto id = mClient.Send(
       WriteProbe(aProbe), [this, aProbe](const EndpointAnswer& aAnswer) {
         mProbing.erase(aProbe.mProbe);
-        const auto sample = ReadProbeAnswer(aProbe.mEndpoint, aAnswer);
-        Act(mEngine.ProbeEnded(aProbe.mProbe, sample, mClock.Now()));
+        const ProbeReply reply = ReadProbeAnswer(aProbe.mEndpoint, aAnswer);
+        Act(mEngine.ProbeEnded(aProbe.mProbe, reply, mClock.Now()));
       });
   mProbing[aProbe.mProbe] = id;
 }
--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -100,7 +100,7 @@
 }
 
 void GatewayHarness::End(std::size_t aNumber, AttemptResult aResult,
-                         int aStatus) {
+                         int aStatus, const EndpointNotice& aNotice) {
   const std::vector<AttemptId> running = Running();
   if (running.empty()) {
     return;
@@ -112,6 +112,7 @@
                  aResult != AttemptResult::NotExecuted;
   AttemptReply reply;
   reply.mResult = aResult;
+  reply.mNotice = aNotice;
   if (aResult == AttemptResult::Answered) {
     auto response = std::make_shared<Response>();
     response->mStatus = aStatus;
@@ -121,15 +122,17 @@
   Act(mEngine.AttemptEnded(id, reply, mClock.Now()));
 }
 
-void GatewayHarness::AnswerProbes(bool aAnswered) {
+void GatewayHarness::AnswerProbes(bool aAnswered,
+                                  const EndpointNotice& aNotice) {
   const auto probes = mProbes;
   mProbes.clear();
   for (const auto& [id, endpoint] : probes) {
-    std::optional<LoadSample> sample;
+    ProbeReply reply;
     if (aAnswered) {
-      sample = LoadSample{0, 0, 4, 1};
+      reply.mSample = LoadSample{0, 0, 4, 1};
+      reply.mNotice = aNotice;
     }
-    Act(mEngine.ProbeEnded(id, sample, mClock.Now()));
+    Act(mEngine.ProbeEnded(id, reply, mClock.Now()));
   }
 }
 
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -42,8 +42,11 @@
   CallId AskFor(const std::string& aHost, const std::string& aTarget);
   void Advance(Duration aTime);
   /** Ends the running attempt with a number counted over those that run. */
-  void End(std::size_t aNumber, AttemptResult aResult, int aStatus = 200);
-  void AnswerProbes(bool aAnswered);
+  void End(std::size_t aNumber, AttemptResult aResult, int aStatus = 200,
+           const EndpointNotice& aNotice = {});
+  void AnswerProbes(bool aAnswered, const EndpointNotice& aNotice = {});
+  /** Questions for loads that wait for an answer. */
+  [[nodiscard]] std::size_t Probes() const { return mProbes.size(); }
   void Leave(CallId aCall);
   void Trust(bool aTrusted);
 
--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -174,6 +174,73 @@
   CHECK(pool.Usable({}, kStart) == 4);
 }
 
+TEST_CASE("endpoint pool: what an endpoint asks for holds for its start") {
+  struct Case {
+    const char* mWhat;
+    EndpointNotice mNotice;
+    std::function<void(EndpointMap&)> mPublish;
+    Duration mAfter;
+    bool mUsable;
+  };
+  const auto nothing = [](EndpointMap&) {};
+  const auto restart = [](EndpointMap& aEntries) {
+    aEntries.at("a").mIncarnation = 9;
+  };
+  const EndpointNotice leaves{true, Duration::zero()};
+  const EndpointNotice waits{false, seconds(3)};
+  const std::vector<Case> cases = {
+      {"it leaves", leaves, nothing, seconds(0), false},
+      {"it left long ago", leaves, nothing, std::chrono::hours(1), false},
+      {"it left and starts anew", leaves, restart, seconds(0), true},
+      {"it is full", waits, nothing, milliseconds(2990), false},
+      {"it was full", waits, nothing, milliseconds(3010), true},
+      {"it was full and starts anew", waits, restart, seconds(0), true},
+      {"it asks for nothing", {}, nothing, seconds(0), true},
+  };
+  for (const Case& one : cases) {
+    for (const bool vanishes : {false, true}) {
+      CAPTURE(one.mWhat);
+      CAPTURE(vanishes);
+      EndpointMap entries = {{"a", MakeEntry("a", "dc1")}};
+      EndpointPool pool = MakePool(entries);
+      pool.NoteNotice("a", one.mNotice, kStart);
+      if (vanishes) {
+        pool.Configure({}, "service", kStart);
+      }
+      one.mPublish(entries);
+      pool.Configure(entries, "service", kStart);
+      CHECK(pool.Usable({}, kStart + one.mAfter) == (one.mUsable ? 1 : 0));
+    }
+  }
+}
+
+TEST_CASE("endpoint pool: one without a fresh report is like the others") {
+  const EndpointMap entries = MakeEntries();
+  struct Case {
+    std::uint32_t mRunning;
+    bool mIsQuick;
+  };
+  for (const Case& one : {Case{0, true}, Case{4, false}}) {
+    EndpointPool pool = MakePool(entries);
+    for (int report = 0; report < 100; ++report) {
+      pool.NoteSample("b", LoadSample{one.mRunning, 0, 4, 1}, kStart);
+    }
+    const auto choice =
+        pool.Pick({"b", "c", "far"}, kWork, kStart + seconds(2));
+    REQUIRE(choice);
+    CHECK((choice->mSlowdown < 1.5) == one.mIsQuick);
+  }
+}
+
+TEST_CASE("endpoint pool: one that is known to be full is not asked again") {
+  const EndpointMap entries = {{"a", MakeEntry("a", "dc1")}};
+  EndpointPool pool = MakePool(entries);
+  pool.NoteSample("a", LoadSample{4, 3, 4, 1}, kStart);
+  // Four of seven requests must end before there is room for one more.
+  CHECK(pool.StaleCandidates({}, kWork, 1, kStart + milliseconds(40)).empty());
+  CHECK(pool.StaleCandidates({}, kWork, 1, kStart + kWork).size() == 1);
+}
+
 TEST_CASE("endpoint pool: only old reports are asked for anew") {
   EndpointMap entries = MakeEntries();
   EndpointPool pool = MakePool(entries);
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -313,6 +313,131 @@
   }
 }
 
+TEST_CASE("gateway: an endpoint that asks to be left alone is left alone") {
+  struct Case {
+    const char* mWhat;
+    Duration mStayAway;
+    /** Whether the request waits for the only endpoint. */
+    bool mWaits;
+  };
+  // The target latency is 300 ms.
+  const std::vector<Case> table = {
+      {"for less than the request may wait", milliseconds(60), true},
+      {"for longer than the request may wait", milliseconds(4000), false},
+  };
+  for (const Case& row : table) {
+    for (const bool idempotent : {true, false}) {
+      CAPTURE(row.mWhat);
+      CAPTURE(idempotent);
+      GatewayHarness harness(1);
+      const CallId call = harness.Ask(idempotent);
+      harness.AnswerProbes(true);
+      REQUIRE(harness.Running().size() == 1);
+      harness.End(0, AttemptResult::NotExecuted, 503,
+                  EndpointNotice{false, row.mStayAway});
+      CHECK(harness.Answers().contains(call) == !row.mWaits);
+      CHECK(harness.Running().empty());
+      // Nobody goes there meanwhile, not even with a question.
+      const CallId next = harness.Ask(idempotent);
+      CHECK(harness.Probes() == 0);
+      CHECK(harness.Answers().contains(next) == !row.mWaits);
+      if (!row.mWaits) {
+        CHECK(harness.Answers().at(call).mError == ErrorKind::Overloaded);
+        for (const CallId refused : {call, next}) {
+          CHECK(harness.Answers().at(refused).mRetryAfter >= row.mStayAway);
+        }
+        continue;
+      }
+      harness.Advance(row.mStayAway + milliseconds(30));
+      harness.AnswerProbes(true);
+      CHECK(harness.Running().size() == 2);
+    }
+  }
+}
+
+TEST_CASE("gateway: an endpoint that says it leaves gets nothing more") {
+  for (const bool byProbe : {true, false}) {
+    CAPTURE(byProbe);
+    GatewayHarness harness(2);
+    harness.Ask(true);
+    const EndpointNotice leaves{true, Duration::zero()};
+    std::string leaving;
+    if (byProbe) {
+      harness.Publish({0});
+      harness.AnswerProbes(true, leaves);
+      leaving = "e0";
+      harness.Publish({0, 1});
+    } else {
+      harness.AnswerProbes(true);
+      leaving = EndpointOf(harness, 1);
+      harness.End(0, AttemptResult::Answered, 200, leaves);
+    }
+    // The store lists it all the while, drops it and lists it again.
+    for (const std::vector<std::size_t>& listed :
+         {std::vector<std::size_t>{0, 1},
+          std::vector<std::size_t>{leaving == "e0" ? 1U : 0U},
+          std::vector<std::size_t>{0, 1}}) {
+      harness.Publish(listed);
+      for (int request = 0; request < 6; ++request) {
+        harness.Ask(request % 2 == 0);
+        harness.AnswerProbes(true);
+      }
+      for (const AttemptId id : harness.Running()) {
+        CHECK(harness.Attempts().at(id).mEndpoint != leaving);
+      }
+    }
+  }
+}
+
+TEST_CASE("gateway: a part of a split that is short of room moves nothing") {
+  constexpr const char* kOther = "other";
+  GatewayEngine engine("dc", 1);
+  auto source = std::make_shared<RoutingConfiguration>();
+  source->mVersion = 1;
+  Route route;
+  route.mName = "split";
+  route.mHost = "shop.example";
+  route.mPrefix = "/";
+  route.mKind = RouteKind::Idempotent;
+  route.mTimeout = milliseconds(1000);
+  route.mTargetLatency = milliseconds(300);
+  route.mMaxAttempts = 2;
+  route.mShares = {ServiceShare{GatewayHarness::kService, 3},
+                   ServiceShare{kOther, 1}};
+  source->mRoutes = {route};
+  auto endpoints = std::make_shared<EndpointMap>();
+  EndpointEntry entry;
+  entry.mId = "e0";
+  entry.mService = GatewayHarness::kService;
+  entry.mAddress = "10.0.0.1:80";
+  entry.mDataCentre = "dc";
+  entry.mSlots = 100;
+  endpoints->emplace(entry.mId, entry);
+  auto view = std::make_shared<RoutingView>();
+  view->mRoutes = std::make_shared<RouteTable>(source);
+  view->mEndpoints = endpoints;
+  const TimePoint now{std::chrono::hours(1)};
+  engine.Apply(view, now);
+  engine.SetTrusted(true, now);
+  constexpr CallId kCalls = 80;
+  std::size_t sent = 0;
+  std::size_t refused = 0;
+  for (CallId id = 1; id <= kCalls; ++id) {
+    GatewayRequest request;
+    request.mRequestId = std::to_string(id);
+    request.mMethod = "GET";
+    request.mHost = route.mHost;
+    request.mTarget = "/x";
+    for (const GatewayAction& action : engine.Arrive(id, request, now)) {
+      sent += std::holds_alternative<StartAttempt>(action) ? 1 : 0;
+      const auto* const answer = std::get_if<GatewayAnswer>(&action);
+      refused += answer != nullptr && answer->mError == ErrorKind::NoEndpoint;
+    }
+  }
+  CHECK(sent == 60);
+  CHECK(refused == 20);
+}
+
 TEST_CASE("gateway: a host that knows no loads asks before it sends") {
   struct Case {
     std::string mWhat;
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -95,10 +95,22 @@
 }
 
 TEST_CASE("documents: a kind that is not known may not be repeated") {
-  const auto decoded =
-      DecodeConfiguration(Replace(kConfiguration, "\"safe\"", "\"odd\""));
-  REQUIRE(decoded.mValue);
-  CHECK(decoded.mValue->mRoutes[1].mKind == RouteKind::AtMostOnce);
+  struct Case {
+    std::string mWord;
+    RouteKind mKind;
+  };
+  const std::vector<Case> cases = {{"safe", RouteKind::Idempotent},
+                                   {"download", RouteKind::Idempotent},
+                                   {"unsafe", RouteKind::AtMostOnce},
+                                   {"odd", RouteKind::AtMostOnce},
+                                   {"", RouteKind::AtMostOnce}};
+  for (const Case& one : cases) {
+    CAPTURE(one.mWord);
+    const auto decoded = DecodeConfiguration(
+        Replace(kConfiguration, "\"safe\"", "\"" + one.mWord + "\""));
+    REQUIRE(decoded.mValue);
+    CHECK(decoded.mValue->mRoutes[1].mKind == one.mKind);
+  }
 }
 
 TEST_CASE("documents: configurations that cannot be used") {
