Hosts for callers follow from what each can carry and carries now

Cause: the directory named four hosts of a data centre, drawn by name. Change: hosts tell their capacity in their record and their use in the gossip they send anyway, at once to their data centre when it changes much; the directory names the strongest hosts first and as many as keep each under a quarter of its processor and link, more at once, fewer only after a while. The number that is named shares the budget of questions. Datagrams that nest too deep for the stack are dropped unread: 65 KB of nested arrays ended a program built with -O1 (segmentation fault), with -O2 it took over 2 MB of stack.

--- a/core/gossip/front_directory.cpp
+++ b/core/gossip/front_directory.cpp
@@ -1,17 +1,30 @@
 #include "core/gossip/front_directory.h"
 
 #include <algorithm>
+#include <cmath>
+#include <set>
 #include <utility>
 
 #include "core/gossip/front_selection.h"
 
 namespace papayawheel {
+namespace {
+
+/** A peak counts half after this. */
+constexpr std::chrono::seconds kPeakHalfLife{10};
+
+/** How long a selection holds while no host changes. */
+constexpr std::chrono::seconds kSelectionKept{1};
+
+}  // namespace
 
 void FrontDirectory::SetOthers(std::vector<MemberRecord> aOthers) {
   mOthers = std::move(aOthers);
   mSelected.clear();
 }
 
+void FrontDirectory::SetUse(const HostUse& aUse) { mSelf.mUse = aUse; }
+
 void FrontDirectory::SetServing(bool aServes) {
   if (mServes != aServes) {
     mServes = aServes;
@@ -19,25 +32,61 @@
   }
 }
 
-std::vector<std::string> FrontDirectory::Select(
-    const std::string& aDataCentre) {
-  const auto known = mSelected.find(aDataCentre);
-  if (known != mSelected.end()) {
-    return known->second;
-  }
+std::vector<MemberRecord> FrontDirectory::Hosts() const {
   std::vector<MemberRecord> hosts = mOthers;
   if (mServes) {
     hosts.push_back(mSelf);
   }
-  std::vector<std::string> selected = SelectFronts(hosts, aDataCentre, mMost);
+  return hosts;
+}
+
+HostUse FrontDirectory::DemandFor(const std::vector<MemberRecord>& aHosts,
+                                  const std::string& aDataCentre,
+                                  TimePoint aNow) {
+  HostUse demand = DemandOf(aHosts, aDataCentre);
+  Peak& peak = mPeaks[aDataCentre];
+  const double halfLives = std::chrono::duration<double>(aNow - peak.mAt) /
+                           std::chrono::duration<double>(kPeakHalfLife);
+  const double left = std::exp2(-halfLives);
+  demand.mRequests = std::max(demand.mRequests, peak.mUse.mRequests * left);
+  demand.mLinkBytes = std::max(demand.mLinkBytes, peak.mUse.mLinkBytes * left);
+  peak = Peak{demand, aNow};
+  return demand;
+}
+
+std::vector<std::string> FrontDirectory::Select(const std::string& aDataCentre,
+                                                TimePoint aNow) {
+  const auto known = mSelected.find(aDataCentre);
+  if (known != mSelected.end() && aNow < known->second.mUntil) {
+    return known->second.mAddresses;
+  }
+  const std::vector<MemberRecord> hosts = Hosts();
   const bool hasHosts = std::any_of(hosts.begin(), hosts.end(),
                                     [&aDataCentre](const MemberRecord& aHost) {
                                       return aHost.mDataCentre == aDataCentre;
                                     });
-  if (hasHosts) {
-    mSelected.emplace(aDataCentre, selected);
+  if (!hasHosts) {
+    return SelectFronts(hosts, aDataCentre, HostUse{});
+  }
+  Selection selection;
+  selection.mAddresses =
+      SelectFronts(hosts, aDataCentre, DemandFor(hosts, aDataCentre, aNow));
+  selection.mUntil = aNow + kSelectionKept;
+  mSelected[aDataCentre] = selection;
+  return selection.mAddresses;
+}
+
+std::size_t FrontDirectory::Named(TimePoint aNow) {
+  std::set<std::string> centres;
+  for (const MemberRecord& host : Hosts()) {
+    centres.insert(host.mDataCentre);
+  }
+  std::set<std::string> named;
+  for (const std::string& centre : centres) {
+    const auto selected = Select(centre, aNow);
+    named.insert(selected.begin(), selected.end());
   }
-  return selected;
+  return named.size();
 }
 
 }  // namespace papayawheel
--- a/core/gossip/front_selection.cpp
+++ b/core/gossip/front_selection.cpp
@@ -1,5 +1,8 @@
 #include "core/gossip/front_selection.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
 #include <map>
 
 #include "core/base/rendezvous.h"
@@ -9,43 +12,178 @@
 
 /** One host alone would take all of its callers along when it fails. */
 constexpr std::size_t kLeastFronts = 2;
+/** As many as are named of hosts that are alike and have little to do. */
+constexpr std::size_t kUsualFronts = 4;
+/** Callers take no more addresses. */
+constexpr std::size_t kMostFronts = 64;
 
-std::vector<std::string> RankedAddresses(
-    const std::string& aSubject,
-    const std::map<std::string, std::string>& aAddressByName,
-    std::size_t aMost) {
+/** Part of a host's processor and link that callers may use at an ordinary
+ * moment. The rest is for crests, which come sooner than a new answer. */
+constexpr double kOrdinaryUse = 0.25;
+
+/** Processor time of a request, in seconds of a core. */
+constexpr double kCorePerRequest = 250e-6;
+
+/** A host that can carry less than this part of what the strongest one can is
+ * named only if the stronger ones do not suffice. */
+constexpr double kStrongPart = 0.5;
+
+constexpr double kUnlimited = std::numeric_limits<double>::infinity();
+
+/** What a host may be given at an ordinary moment. */
+struct Allowance {
+  double mRequests = kUnlimited;
+  double mLinkBytes = kUnlimited;
+};
+
+Allowance AllowanceOf(const HostCapacity& aCapacity) {
+  Allowance allowance;
+  if (aCapacity.mCores > 0) {
+    allowance.mRequests = kOrdinaryUse * aCapacity.mCores / kCorePerRequest;
+  }
+  if (aCapacity.mLinkBytes > 0) {
+    allowance.mLinkBytes = kOrdinaryUse * aCapacity.mLinkBytes;
+  }
+  return allowance;
+}
+
+/** How strong a host is beside the strongest ones, by its scarcer resource. */
+double StrengthOf(const HostCapacity& aCapacity, const HostCapacity& aMost) {
+  const double cores = aMost.mCores > 0 ? aCapacity.mCores / aMost.mCores : 1;
+  const double link =
+      aMost.mLinkBytes > 0 ? aCapacity.mLinkBytes / aMost.mLinkBytes : 1;
+  return std::min(cores, link);
+}
+
+/** How many times a host is weaker than the strongest, in powers of two. */
+int RankOf(double aStrength) {
+  constexpr int kWeakest = 16;
+  if (aStrength <= 0) {
+    return kWeakest;
+  }
+  const double halvings = std::log(aStrength) / std::log(kStrongPart);
+  return std::min(kWeakest, static_cast<int>(halvings));
+}
+
+struct Front {
+  std::string mAddress;
+  HostCapacity mCapacity;
+  int mRank = 0;
+};
+
+/** The hosts with the strongest first, among equals in an order that all hosts
+ * find and that the loss of one does not change for the others. */
+std::vector<Front> InOrder(const std::string& aSubject,
+                           const std::map<std::string, Front>& aByName) {
+  HostCapacity most;
   std::vector<std::string> names;
-  names.reserve(aAddressByName.size());
-  for (const auto& [name, address] : aAddressByName) {
+  for (const auto& [name, front] : aByName) {
+    most.mCores = std::max(most.mCores, front.mCapacity.mCores);
+    most.mLinkBytes = std::max(most.mLinkBytes, front.mCapacity.mLinkBytes);
     names.push_back(name);
   }
-  std::vector<std::string> addresses;
+  std::vector<Front> ordered;
   for (const std::string& name : RankByRendezvous(aSubject, names)) {
-    if (addresses.size() < aMost) {
-      addresses.push_back(aAddressByName.at(name));
+    Front front = aByName.at(name);
+    front.mRank = RankOf(StrengthOf(front.mCapacity, most));
+    ordered.push_back(std::move(front));
+  }
+  std::stable_sort(ordered.begin(), ordered.end(),
+                   [](const Front& aLeft, const Front& aRight) {
+                     return aLeft.mRank < aRight.mRank;
+                   });
+  return ordered;
+}
+
+/** The least number of hosts that is named. */
+std::size_t LeastOf(const std::vector<Front>& aOrdered) {
+  const auto strong = static_cast<std::size_t>(
+      std::count_if(aOrdered.begin(), aOrdered.end(),
+                    [](const Front& aFront) { return aFront.mRank == 0; }));
+  const std::size_t least = std::clamp(strong, kLeastFronts, kUsualFronts);
+  return std::min(least, aOrdered.size());
+}
+
+/** Whether a number of hosts is one of those that are named: in steps of about
+ * a half, so that hosts which measure a little differently name the same ones,
+ * or all that are as strong as the last one. */
+bool IsStep(const std::vector<Front>& aOrdered, std::size_t aCount) {
+  const bool endsRank = aCount == aOrdered.size() ||
+                        aOrdered[aCount].mRank != aOrdered[aCount - 1].mRank;
+  std::size_t step = 1;
+  while (step < aCount) {
+    step += std::max<std::size_t>(1, step / 2);
+  }
+  return endsRank || step == aCount || aCount == kMostFronts;
+}
+
+/** How many of the first hosts carry the demand with room for a crest; if no
+ * number does, the one that leaves the most loaded host the most room. */
+std::size_t CountFor(const std::vector<Front>& aOrdered,
+                     const HostUse& aDemand) {
+  const std::size_t most = std::min(aOrdered.size(), kMostFronts);
+  const std::size_t least = LeastOf(aOrdered);
+  Allowance weakest;
+  std::size_t best = most;
+  double bestUse = kUnlimited;
+  for (std::size_t count = 1; count <= most; ++count) {
+    const Allowance allowance = AllowanceOf(aOrdered[count - 1].mCapacity);
+    weakest.mRequests = std::min(weakest.mRequests, allowance.mRequests);
+    weakest.mLinkBytes = std::min(weakest.mLinkBytes, allowance.mLinkBytes);
+    if (count < least || !IsStep(aOrdered, count)) {
+      continue;
+    }
+    const double use = std::max(aDemand.mRequests / weakest.mRequests,
+                                aDemand.mLinkBytes / weakest.mLinkBytes) /
+                       static_cast<double>(count);
+    if (use <= 1) {
+      return count;
+    }
+    if (use < bestUse) {
+      best = count;
+      bestUse = use;
     }
   }
-  return addresses;
+  return best;
 }
 
 }  // namespace
 
+HostUse DemandOf(const std::vector<MemberRecord>& aHosts,
+                 const std::string& aDataCentre) {
+  HostUse demand;
+  for (const MemberRecord& host : aHosts) {
+    if (host.mDataCentre == aDataCentre) {
+      demand.mRequests += host.mUse.mRequests;
+      demand.mLinkBytes += host.mUse.mLinkBytes;
+    }
+  }
+  return demand;
+}
+
 std::vector<std::string> SelectFronts(const std::vector<MemberRecord>& aHosts,
                                       const std::string& aDataCentre,
-                                      std::size_t aMost) {
-  std::map<std::string, std::string> near;
-  std::map<std::string, std::string> all;
+                                      const HostUse& aDemand) {
+  std::map<std::string, Front> near;
+  std::map<std::string, Front> all;
   for (const MemberRecord& host : aHosts) {
     if (host.mState != MemberState::Ready) {
       continue;
     }
-    all.emplace(host.mName, host.mFrontAddress);
+    const Front front{host.mFrontAddress, host.mCapacity};
+    all.emplace(host.mName, front);
     if (host.mDataCentre == aDataCentre) {
-      near.emplace(host.mName, host.mFrontAddress);
+      near.emplace(host.mName, front);
     }
   }
   const bool enough = near.size() >= kLeastFronts;
-  return RankedAddresses(aDataCentre, enough ? near : all, aMost);
+  const std::vector<Front> ordered = InOrder(aDataCentre, enough ? near : all);
+  const std::size_t count = CountFor(ordered, aDemand);
+  std::vector<std::string> addresses;
+  for (std::size_t index = 0; index < count; ++index) {
+    addresses.push_back(ordered[index].mAddress);
+  }
+  return addresses;
 }
 
 }  // namespace papayawheel
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -47,6 +48,23 @@
 /** A host that was unreachable for so long is forgotten. */
 constexpr seconds kForgetAfter{60};
 
+/** A use that has changed by less than this part is not told at once, nor is
+ * one that is low, nor one so soon after the last. */
+constexpr double kMuchChange = 0.3;
+constexpr double kLowRequests = 10;
+constexpr double kLowBytes = 50e3;
+constexpr milliseconds kUsePause{900};
+
+bool HasChangedMuch(double aBefore, double aNow, double aLow) {
+  const double least = std::max(aBefore, aLow) * kMuchChange;
+  return std::abs(aNow - aBefore) > least;
+}
+
+bool HasChangedMuch(const HostUse& aBefore, const HostUse& aNow) {
+  return HasChangedMuch(aBefore.mRequests, aNow.mRequests, kLowRequests) ||
+         HasChangedMuch(aBefore.mLinkBytes, aNow.mLinkBytes, kLowBytes);
+}
+
 bool IsNewer(const MemberRecord& aLeft, const MemberRecord& aRight) {
   return std::tie(aLeft.mIncarnation, aLeft.mVersion) >
          std::tie(aRight.mIncarnation, aRight.mVersion);
@@ -76,6 +94,23 @@
   }
 }
 
+Datagrams GossipEngine::SetUse(const HostUse& aUse, TimePoint aNow) {
+  mSelf.mUse = aUse;
+  Datagrams datagrams;
+  if (!HasChangedMuch(mToldUse, aUse) || aNow - mUseToldAt < kUsePause) {
+    return datagrams;
+  }
+  mToldUse = aUse;
+  mUseToldAt = aNow;
+  const GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  for (const auto& [name, member] : mMembers) {
+    if (member.mReachable && member.mRecord.mDataCentre == mSelf.mDataCentre) {
+      datagrams.push_back(Datagram{member.mRecord.mGossipAddress, message});
+    }
+  }
+  return datagrams;
+}
+
 Datagrams GossipEngine::Tick(TimePoint aNow) {
   Datagrams datagrams;
   CheckPings(aNow, datagrams);
@@ -329,6 +364,10 @@
   if (aMessage.mKind == GossipMessage::Kind::Ack) {
     member.mKnowsVersion = member.mToldVersion;
   }
+  if (HasChangedMuch(member.mRecord.mUse, aMessage.mUse)) {
+    ++mUseGeneration;
+  }
+  member.mRecord.mUse = aMessage.mUse;
   member.mHeardAt = aNow;
   member.mPingedAt.reset();
   member.mUnanswered = 0;
@@ -361,7 +400,9 @@
   if (!IsNewer(aRecord, member.mRecord)) {
     return;
   }
+  const HostUse use = member.mRecord.mUse;
   member.mRecord = aRecord;
+  member.mRecord.mUse = use;
   mNews[aRecord.mName] = kTellings;
   Changed();
   if (!member.mReachable && !member.mPingedAt) {
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -31,6 +31,10 @@
   void SetStoreFailing(bool aFailing);
   /** What is told with each message. */
   void SetView(const ViewSummary& aView) { mView = aView; }
+  /** What callers make this host carry, told with each message. If it has
+   * changed much, the hosts of the data centre are told at once: they say where
+   * callers go. */
+  Datagrams SetUse(const HostUse& aUse, TimePoint aNow);
 
   /** Does what is due. */
   Datagrams Tick(TimePoint aNow);
@@ -64,8 +68,10 @@
   /** Whether the fleet is so large that news is passed on in two steps. */
   [[nodiscard]] bool RelaysNews() const;
 
-  /** Grows whenever Reachable() may have changed. */
+  /** Grows whenever Reachable() may have changed, but for the use. */
   [[nodiscard]] std::uint64_t Generation() const { return mGeneration; }
+  /** Grows whenever the use of a host has changed much. */
+  [[nodiscard]] std::uint64_t UseGeneration() const { return mUseGeneration; }
 
  private:
   struct Member {
@@ -112,6 +118,9 @@
   std::minstd_rand mRandom;
   std::vector<std::string> mSeeds;
   ViewSummary mView;
+  /** What was last told at once, and when. */
+  HostUse mToldUse;
+  TimePoint mUseToldAt;
   std::map<std::string, Member> mMembers;
   /** Names in the order in which they are pinged, in the data centre and
    * elsewhere. */
@@ -129,6 +138,7 @@
   /** No regained host is asked for its roster before. */
   TimePoint mNextRegainedAsk;
   std::uint64_t mGeneration = 0;
+  std::uint64_t mUseGeneration = 0;
 };
 
 }  // namespace papayawheel
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -7,6 +7,7 @@
 
 #include "core/base/clock.h"
 #include "core/gateway/crash_watch.h"
+#include "core/gossip/host_load.h"
 
 namespace papayawheel {
 
@@ -37,6 +38,10 @@
   MemberState mState = MemberState::Starting;
   /** Its reads of the platform's store fail. */
   bool mStoreFailing = false;
+  HostCapacity mCapacity;
+  /** What it last told of its use; not a part of the record, which does not
+   * grow a version with it. */
+  HostUse mUse;
 
   /** Whether it holds no more than name, incarnation and version. */
   [[nodiscard]] bool IsBrief() const { return mGossipAddress.empty(); }
@@ -62,6 +67,8 @@
   /** Without data centre and addresses if the receiver knows them. */
   MemberRecord mSender;
   ViewSummary mView;
+  /** What the sender carries now. */
+  HostUse mUse;
   /** Records of other hosts that may be news. */
   std::vector<MemberRecord> mRecords;
   /** Names of hosts that did not answer the sender. */
--- a/core/gossip/gossip_telling.cpp
+++ b/core/gossip/gossip_telling.cpp
@@ -56,6 +56,7 @@
   message.mKind = aKind;
   message.mSender = mSelf;
   message.mView = mView;
+  message.mUse = mSelf.mUse;
   for (auto it = mNews.begin();
        it != mNews.end() && message.mRecords.size() < kRecordsPerMessage;) {
     const auto found = mMembers.find(it->first);
--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -19,6 +19,8 @@
 
 constexpr std::int64_t kMaxPort = 65535;
 constexpr std::int64_t kMaxMillis = 3'600'000;
+constexpr std::int64_t kMaxBytes = 1'073'741'824;
+constexpr double kBytesPerMegabit = 1e6 / 8;
 
 void AddSettings(ProgramSettings& aSettings) {
   aSettings.AddFile(
@@ -58,6 +60,21 @@
                        "repeated sends beyond that in a window, of all hosts");
   aSettings.AddNumber("retry-window-ms", 10'000, 100, kMaxMillis,
                       "length of that window");
+  aSettings.AddDecimal("probe-rate", "60", 0, 1'000'000,
+                       "questions for its load to an endpoint in a second, of "
+                       "all hosts");
+  aSettings.AddDecimal("processor-share", "0", 0, 1024,
+                       "part of a core that this host has; 0 if unknown");
+  aSettings.AddDecimal("processor-speed", "1", 0, 1024,
+                       "how many times faster than usual a core of it is");
+  aSettings.AddDecimal("link-mbps", "0", 0, 10'000'000,
+                       "Mbit/s of this host's link each way; 0 if unknown");
+  aSettings.AddNumber("answer-head-bytes", 65'536, 1024, 80'000,
+                      "longest head of an endpoint's answer");
+  aSettings.AddNumber("answer-body-bytes", 8'388'608, 1024, kMaxBytes,
+                      "longest body of an endpoint's answer");
+  aSettings.AddNumber("answers-bytes", 33'554'432, 1024, kMaxBytes,
+                      "bytes of unfinished answers of all endpoints");
   aSettings.Add("log-level", "info", "least level that is logged",
                 CheckLogLevel);
 }
@@ -82,6 +99,17 @@
   gateway.mRetryBudget.mSlack = aSettings.Decimal("retry-slack");
   gateway.mRetryBudget.mWindow =
       milliseconds(aSettings.Number("retry-window-ms"));
+  gateway.mProbeBudget.mPerEndpoint = aSettings.Decimal("probe-rate");
+  gateway.mCapacity.mCores = aSettings.Decimal("processor-share") *
+                             aSettings.Decimal("processor-speed");
+  gateway.mCapacity.mLinkBytes =
+      aSettings.Decimal("link-mbps") * kBytesPerMegabit;
+  gateway.mAnswerLimits.mHead =
+      static_cast<std::size_t>(aSettings.Number("answer-head-bytes"));
+  gateway.mAnswerLimits.mBody =
+      static_cast<std::size_t>(aSettings.Number("answer-body-bytes"));
+  gateway.mAnswerLimits.mTogether =
+      static_cast<std::size_t>(aSettings.Number("answers-bytes"));
   return gateway;
 }
 
@@ -180,6 +208,7 @@
                      control.TellCrashes(std::move(aCrashes));
                    },
                    [&control] { control.NotePause(); },
+                   [&control](const HostUse& aUse) { control.NoteUse(aUse); },
                    [mainThread] { pthread_kill(mainThread, SIGUSR1); }});
   traffic = &serving;
   if (!serving.Start() || !control.Start()) {
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -4,12 +4,14 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <exception>
 #include <random>
 #include <utility>
 
 #include "core/base/rendezvous.h"
 #include "core/config/address.h"
 #include "core/view/reader_ranking.h"
+#include "drivers/guarded_run.h"
 #include "drivers/log.h"
 #include "platform/documents.h"
 #include "servers/gossip_codec.h"
@@ -40,6 +42,7 @@
   self.mControlAddress = aSettings.mControlAddress;
   self.mFrontAddress = aSettings.mFrontAddress;
   self.mIncarnation = NewIncarnation(aClock);
+  self.mCapacity = aSettings.mCapacity;
   return self;
 }
 
@@ -93,7 +96,7 @@
   return true;
 }
 
-void GatewayControl::Run() { mContext.run(); }
+void GatewayControl::Run() { RunGuarded(mContext, "control"); }
 
 void GatewayControl::Stop() { mContext.stop(); }
 
@@ -115,6 +118,11 @@
   asio::post(mContext, [this] { Awaken(kPauseGap); });
 }
 
+void GatewayControl::NoteUse(const HostUse& aUse) {
+  asio::post(mContext,
+             [this, aUse] { Send(mGossip.SetUse(aUse, mClock.Now())); });
+}
+
 void GatewayControl::SetSeeds(std::vector<std::string> aSeeds) {
   asio::post(mContext, [this, seeds = std::move(aSeeds)] {
     std::vector<std::string> addresses;
@@ -154,9 +162,21 @@
   const auto wait =
       std::clamp<TimePoint::duration>(due - now, milliseconds(1), kLongestTurn);
   mTimer.expires_after(wait);
+  AwaitTurn();
+}
+
+void GatewayControl::AwaitTurn() {
   mTimer.async_wait([this](asio::error_code aError) {
-    if (!aError) {
+    if (aError) {
+      return;
+    }
+    try {
       Turn();
+    } catch (const std::exception&) {
+      // Turns go on whatever this one met.
+      mTimer.expires_after(kLongestTurn);
+      AwaitTurn();
+      throw;
     }
   });
 }
@@ -204,15 +224,17 @@
         if (aError == asio::error::operation_aborted) {
           return;
         }
-        if (!aError) {
-          const std::string datagram(mDatagram.data(), aSize);
-          if (const auto message = DecodeGossip(datagram)) {
-            Received(*message);
-          } else {
-            Log(LogLevel::Warning, "datagram_malformed", {{"bytes", aSize}});
-          }
-        }
+        const std::string datagram(mDatagram.data(), aError ? 0 : aSize);
+        // Others are received whatever this one leads to.
         ReceiveNext();
+        if (aError) {
+          return;
+        }
+        if (const auto message = DecodeGossip(datagram)) {
+          Received(*message);
+        } else {
+          Log(LogLevel::Warning, "datagram_malformed", {{"bytes", aSize}});
+        }
       });
 }
 
@@ -341,10 +363,12 @@
 }
 
 void GatewayControl::PublishMembers() {
-  if (mGossip.Generation() == mSeenGeneration) {
+  if (mGossip.Generation() == mSeenGeneration &&
+      mGossip.UseGeneration() == mSeenUseGeneration) {
     return;
   }
   mSeenGeneration = mGossip.Generation();
+  mSeenUseGeneration = mGossip.UseGeneration();
   mHooks.mMembersChanged(mGossip.Reachable(), mGossip.Known());
 }
 
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -54,6 +54,8 @@
   void TellCrashes(std::vector<EndpointCrash> aCrashes);
   /** Traffic noticed that the process was suspended. */
   void NotePause();
+  /** What callers make this host carry. */
+  void NoteUse(const HostUse& aUse);
   void SetSeeds(std::vector<std::string> aSeeds);
 
   [[nodiscard]] const std::string& LastError() const { return mLastError; }
@@ -61,6 +63,8 @@
  private:
   void Turn();
   void ScheduleTurn();
+  /** Takes the turn that the timer is set for. */
+  void AwaitTurn();
   void Awaken(Duration aGap);
   /** The hosts that should watch the store, as far as is known here. */
   const std::vector<std::string>& Readers();
@@ -99,7 +103,9 @@
   ViewKeeper mKeeper;
   EndpointRegistry mRegistry;
   std::shared_ptr<const RouteTable> mRoutes;
+  /** Of the hosts and of their use, as traffic knows them. */
   std::uint64_t mSeenGeneration = 0;
+  std::uint64_t mSeenUseGeneration = 0;
   std::vector<std::string> mReaders;
   /** What mReaders follow from: the generation of what is known of others, and
    * the version of this host's own record. */
--- a/servers/gateway_settings.h
+++ b/servers/gateway_settings.h
@@ -6,6 +6,9 @@
 #include <vector>
 
 #include "core/gateway/fleet_retry_budget.h"
+#include "core/gateway/probe_budget.h"
+#include "core/gossip/host_load.h"
+#include "drivers/answer_limits.h"
 
 namespace papayawheel {
 
@@ -36,6 +39,11 @@
   /** From the signal to stop to the end of the process at the latest. */
   std::chrono::milliseconds mGrace{6000};
   RetryBudgetTerms mRetryBudget;
+  ProbeBudgetTerms mProbeBudget;
+  /** What this host can carry. */
+  HostCapacity mCapacity;
+  /** What an endpoint may send. */
+  AnswerLimits mAnswerLimits;
   /** The longest time that a caller may keep an answer of the directory. */
   std::chrono::milliseconds mMostKeep{5000};
 };
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <exception>
 #include <random>
 #include <utility>
 
 #include "core/config/address.h"
+#include "drivers/guarded_run.h"
 #include "drivers/log.h"
 #include "platform/caller_protocol.h"
 #include "platform/names.h"
@@ -24,9 +26,6 @@
  * times as long, and a host that stops must outlast that. */
 constexpr milliseconds kKeep{1500};
 
-/** Hosts that callers of one data centre are sent to. */
-constexpr std::size_t kFrontsPerDataCentre = 4;
-
 /** A host that stops takes new requests for this long. */
 constexpr milliseconds kTakingAfterLeave{3000};
 
@@ -47,6 +46,7 @@
   self.mDataCentre = aSettings.mDataCentre;
   self.mFrontAddress = aSettings.mFrontAddress;
   self.mState = MemberState::Ready;
+  self.mCapacity = aSettings.mCapacity;
   return self;
 }
 
@@ -57,10 +57,12 @@
     : mSettings(aSettings),
       mClock(aClock),
       mHooks(std::move(aHooks)),
+      mClient(mContext, aSettings.mAnswerLimits),
       mEngine(aSettings.mDataCentre, std::random_device{}()),
-      mFronts(SelfAsFront(aSettings), kFrontsPerDataCentre),
+      mFronts(SelfAsFront(aSettings)),
       mLastTurn(aClock.Now()) {
   mEngine.SetRetryBudget(aSettings.mRetryBudget, 1);
+  mEngine.SetProbeBudget(aSettings.mProbeBudget, 1, aClock.Now());
 }
 
 bool GatewayTraffic::Start() {
@@ -104,7 +106,7 @@
   return true;
 }
 
-void GatewayTraffic::Run() { mContext.run(); }
+void GatewayTraffic::Run() { RunGuarded(mContext, "traffic"); }
 
 void GatewayTraffic::Stop() { mContext.stop(); }
 
@@ -137,8 +139,10 @@
 void GatewayTraffic::SetMembers(std::vector<MemberRecord> aReachable,
                                 std::size_t aKnown) {
   asio::post(mContext, [this, members = std::move(aReachable), aKnown] {
+    const TimePoint now = mClock.Now();
     mFronts.SetOthers(members);
     mEngine.SetRetryBudget(mSettings.mRetryBudget, aKnown);
+    mEngine.SetProbeBudget(mSettings.mProbeBudget, mFronts.Named(now), now);
   });
 }
 
@@ -194,7 +198,7 @@
     return;
   }
   mFronts.SetServing(IsReady());
-  const auto addresses = mFronts.Select(question->mDataCentre);
+  const auto addresses = mFronts.Select(question->mDataCentre, mClock.Now());
   reply.mStatus =
       addresses.empty() ? http_status::kUnavailable : http_status::kOk;
   reply.mBody =
@@ -314,9 +318,22 @@
     mEngine.StopTaking();
   }
   Act(mEngine.Tick(now));
+  MeasureUse(now);
   ScheduleTurn();
 }
 
+void GatewayTraffic::MeasureUse(TimePoint aNow) {
+  const EndpointClientCounts& counts = mClient.Counts();
+  const auto use = mUseMeter.Measure(
+      UseMeter::Totals{mEngine.Counts().mArrived, counts.mBytesRead,
+                       counts.mBytesWritten},
+      aNow);
+  if (use) {
+    mFronts.SetUse(*use);
+    mHooks.mUseMeasured(*use);
+  }
+}
+
 void GatewayTraffic::ScheduleTurn() {
   const TimePoint now = mClock.Now();
   mTimerDue = now + kLongestTurn;
@@ -328,9 +345,21 @@
     mTimerDue = std::min(mTimerDue, std::max(end, now));
   }
   mTimer.expires_after(mTimerDue - now);
+  AwaitTurn();
+}
+
+void GatewayTraffic::AwaitTurn() {
   mTimer.async_wait([this](asio::error_code aError) {
-    if (!aError) {
+    if (aError) {
+      return;
+    }
+    try {
       Turn();
+    } catch (const std::exception&) {
+      // Turns go on whatever this one met.
+      mTimer.expires_after(kLongestTurn);
+      AwaitTurn();
+      throw;
     }
   });
 }
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -14,6 +14,7 @@
 #include "core/gateway/gateway_engine.h"
 #include "core/gossip/front_directory.h"
 #include "core/gossip/gossip_message.h"
+#include "core/gossip/use_meter.h"
 #include "drivers/endpoint_client.h"
 #include "drivers/http_server.h"
 #include "servers/connection_calls.h"
@@ -28,6 +29,8 @@
   std::function<void(std::vector<EndpointCrash>)> mCrashesSeen;
   /** The process was suspended. */
   std::function<void()> mPaused;
+  /** What callers make this host carry. */
+  std::function<void(const HostUse&)> mUseMeasured;
   /** The last request has ended after Leave(). */
   std::function<void()> mDone;
 };
@@ -84,8 +87,12 @@
   void AttemptEnded(const StartAttempt& aStart, const EndpointAnswer& aAnswer);
   void Turn();
   void ScheduleTurn();
+  /** Takes the turn that the timer is set for. */
+  void AwaitTurn();
   void CheckPause();
   void CheckDone();
+  /** Measures what callers make this host carry, from time to time. */
+  void MeasureUse(TimePoint aNow);
   void ForgetGoneEndpoints(const EndpointMap& aNow);
   [[nodiscard]] bool IsReady() const;
 
@@ -95,7 +102,7 @@
   asio::io_context mContext{1};
   asio::steady_timer mTimer{mContext};
   TimePoint mTimerDue;
-  EndpointClient mClient{mContext};
+  EndpointClient mClient;
   std::vector<std::unique_ptr<HttpServer>> mServers;
   GatewayEngine mEngine;
   std::shared_ptr<const RoutingView> mView;
@@ -110,6 +117,7 @@
   bool mDone = false;
   TimePoint mLeavingSince;
   TimePoint mLastTurn;
+  UseMeter mUseMeter;
   std::string mLastError;
 };
 
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -1,5 +1,7 @@
 #include "servers/gossip_codec.h"
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <exception>
 #include <nlohmann/json.hpp>
@@ -19,16 +21,73 @@
 /** Where a message says whether a roster is wanted; earlier programs end their
  * messages before it. */
 constexpr std::size_t kWantsRosterField = 9;
+/** Where it says what the sender carries. */
+constexpr std::size_t kUseField = 10;
+/** Where a full record says what its host can carry. */
+constexpr std::size_t kCapacityField = 9;
+
+/** A datagram no longer than this cannot nest so deep that reading it uses up
+ * the stack; longer ones are looked at first. */
+constexpr std::size_t kSafeLength = 2048;
+constexpr std::size_t kDeepest = 8;
+
+/** Accepts documents that do not nest deeper than gossip does. */
+class DepthCheck : public nlohmann::json_sax<Json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool /*aValue*/) override { return true; }
+  bool number_integer(std::int64_t /*aValue*/) override { return true; }
+  bool number_unsigned(std::uint64_t /*aValue*/) override { return true; }
+  bool number_float(double /*aValue*/, const std::string& /*aText*/) override {
+    return true;
+  }
+  bool string(std::string& /*aValue*/) override { return true; }
+  bool binary(Json::binary_t& /*aValue*/) override { return true; }
+  bool key(std::string& /*aValue*/) override { return true; }
+  bool start_object(std::size_t /*aSize*/) override { return Enter(); }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t /*aSize*/) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t /*aPosition*/, const std::string& /*aToken*/,
+                   const nlohmann::detail::exception& /*aError*/) override {
+    return false;
+  }
+
+ private:
+  bool Enter() { return ++mDepth <= kDeepest; }
+  bool Leave() {
+    --mDepth;
+    return true;
+  }
+
+  std::size_t mDepth = 0;
+};
+
+bool IsSafeToParse(const std::string& aDatagram) {
+  if (aDatagram.size() <= kSafeLength) {
+    return true;
+  }
+  DepthCheck check;
+  return Json::sax_parse(aDatagram, &check, Json::input_format_t::msgpack);
+}
 
 Json RenderRecord(const MemberRecord& aRecord) {
   if (aRecord.IsBrief()) {
     return Json::array({aRecord.mName, aRecord.mIncarnation, aRecord.mVersion});
   }
-  return Json::array({aRecord.mName, aRecord.mDataCentre,
-                      aRecord.mGossipAddress, aRecord.mControlAddress,
-                      aRecord.mFrontAddress, aRecord.mIncarnation,
-                      aRecord.mVersion, static_cast<int>(aRecord.mState),
-                      aRecord.mStoreFailing});
+  return Json::array(
+      {aRecord.mName, aRecord.mDataCentre, aRecord.mGossipAddress,
+       aRecord.mControlAddress, aRecord.mFrontAddress, aRecord.mIncarnation,
+       aRecord.mVersion, static_cast<int>(aRecord.mState),
+       aRecord.mStoreFailing,
+       Json::array({aRecord.mCapacity.mCores, aRecord.mCapacity.mLinkBytes})});
+}
+
+/** A number from another host that must not upset what is added up. */
+double Quantity(const Json& aNumber) {
+  constexpr double kMost = 1e12;
+  const double number = aNumber.get<double>();
+  return number > 0 ? std::min(number, kMost) : 0;
 }
 
 MemberRecord ParseRecord(const Json& aRecord) {
@@ -47,6 +106,11 @@
   record.mVersion = aRecord.at(6).get<std::uint32_t>();
   record.mState = static_cast<MemberState>(aRecord.at(7).get<int>());
   record.mStoreFailing = aRecord.at(8).get<bool>();
+  if (aRecord.size() > kCapacityField) {
+    const Json& capacity = aRecord.at(kCapacityField);
+    record.mCapacity =
+        HostCapacity{Quantity(capacity.at(0)), Quantity(capacity.at(1))};
+  }
   return record;
 }
 
@@ -93,13 +157,18 @@
       Json::array({kVersion, static_cast<int>(aMessage.mKind),
                    RenderRecord(aMessage.mSender), aMessage.mView.mNewest,
                    aMessage.mView.mAsOf, RenderAge(aMessage.mView.mAge),
-                   records, aMessage.mDoubts, crashes, aMessage.mWantsRoster});
+                   records, aMessage.mDoubts, crashes, aMessage.mWantsRoster,
+                   Json::array({std::llround(aMessage.mUse.mRequests),
+                                std::llround(aMessage.mUse.mLinkBytes)})});
   std::string datagram;
   Json::to_msgpack(message, datagram);
   return datagram;
 }
 
 std::optional<GossipMessage> DecodeGossip(const std::string& aDatagram) {
+  if (!IsSafeToParse(aDatagram)) {
+    return std::nullopt;
+  }
   try {
     const Json parsed = Json::from_msgpack(aDatagram);
     if (parsed.at(0).get<int>() != kVersion) {
@@ -121,6 +190,10 @@
     }
     message.mWantsRoster = parsed.size() > kWantsRosterField &&
                            parsed.at(kWantsRosterField).get<bool>();
+    if (parsed.size() > kUseField) {
+      const Json& use = parsed.at(kUseField);
+      message.mUse = HostUse{Quantity(use.at(0)), Quantity(use.at(1))};
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <functional>
@@ -7,6 +8,7 @@
 
 #include "core/gossip/front_directory.h"
 #include "core/gossip/front_selection.h"
+#include "core/gossip/use_meter.h"
 #include "core/view/reader_ranking.h"
 
 namespace papayawheel {
@@ -29,7 +31,7 @@
   std::vector<MemberRecord> hosts = MakeHosts(18, 3);
   hosts[0].mState = MemberState::Leaving;
   hosts[3].mState = MemberState::Starting;
-  const auto fronts = SelectFronts(hosts, "dc0", 4);
+  const auto fronts = SelectFronts(hosts, "dc0", HostUse{});
   CHECK(fronts == std::vector<std::string>(fronts.begin(), fronts.end()));
   CHECK(fronts.size() == 4);
   for (const std::string& front : fronts) {
@@ -41,22 +43,22 @@
 
 TEST_CASE("fronts: a host that fails leaves the others where they are") {
   std::vector<MemberRecord> hosts = MakeHosts(18, 3);
-  const auto before = SelectFronts(hosts, "dc1", 4);
+  const auto before = SelectFronts(hosts, "dc1", HostUse{});
   std::erase_if(hosts, [&before](const MemberRecord& aHost) {
     return aHost.mFrontAddress == before[1];
   });
-  const auto after = SelectFronts(hosts, "dc1", 4);
+  const auto after = SelectFronts(hosts, "dc1", HostUse{});
   CHECK(after[0] == before[0]);
   CHECK(after[1] == before[2]);
   CHECK(after[2] == before[3]);
 }
 
 TEST_CASE("fronts: what the directory keeps follows the hosts") {
-  constexpr std::size_t kMost = 4;
   std::vector<MemberRecord> others = MakeHosts(18, 3);
   const MemberRecord self = others.back();
   others.pop_back();
-  FrontDirectory directory(self, kMost);
+  FrontDirectory directory(self);
+  const TimePoint now{std::chrono::hours(1)};
   bool serves = false;
   struct Step {
     std::string mWhat;
@@ -99,7 +101,8 @@
     // Asked twice, the second answer is the one that was kept.
     for (const char* const centre :
          {"dc0", "dc1", "dc2", "dc0", "dc1", "dc2", "elsewhere"}) {
-      CHECK(directory.Select(centre) == SelectFronts(hosts, centre, kMost));
+      CHECK(directory.Select(centre, now) ==
+            SelectFronts(hosts, centre, HostUse{}));
     }
   }
 }
@@ -119,10 +122,180 @@
         --left;
       }
     }
-    CHECK((SelectFronts(hosts, "dc0", 4).size() > 2) == one.mOthersToo);
+    CHECK((SelectFronts(hosts, "dc0", HostUse{}).size() > 2) == one.mOthersToo);
   }
 }
 
+struct Sizes {
+  std::size_t mCount;
+  HostCapacity mCapacity;
+};
+
+std::vector<MemberRecord> MakeSized(const std::vector<Sizes>& aSizes) {
+  std::vector<MemberRecord> hosts;
+  for (const Sizes& size : aSizes) {
+    for (std::size_t number = 0; number < size.mCount; ++number) {
+      MemberRecord host;
+      host.mName = "h" + std::to_string(hosts.size());
+      host.mDataCentre = "dc0";
+      host.mFrontAddress = host.mName;
+      host.mState = MemberState::Ready;
+      host.mCapacity = size.mCapacity;
+      hosts.push_back(host);
+    }
+  }
+  return hosts;
+}
+
+const HostCapacity kLarge{0.5, 25e6};
+const HostCapacity kSmall{0.07, 1.25e6};
+
+TEST_CASE("fronts: as many as carry the load, the strongest first") {
+  struct Case {
+    const char* mWhat;
+    std::vector<Sizes> mHosts;
+    HostUse mDemand;
+    std::size_t mNamed;
+  };
+  const std::vector<Case> cases = {
+      {"nothing to do", {{40, kSmall}}, {}, 4},
+      {"two strong ones suffice", {{2, kLarge}, {40, kSmall}}, {200, 2e6}, 2},
+      {"no strong one is there", {{40, kSmall}}, {200, 2e6}, 9},
+      {"more requests than four can take", {{40, kSmall}}, {560, 1e5}, 9},
+      {"downloads that fill small links", {{40, kSmall}}, {20, 3.6e6}, 13},
+      {"the strong ones do not suffice",
+       {{2, kLarge}, {60, kSmall}},
+       {200, 13e6},
+       42},
+      {"more than all can carry", {{10, kSmall}}, {9000, 90e6}, 10},
+      {"one strong one is not enough",
+       {{1, kLarge}, {9, kSmall}},
+       {10, 1e5},
+       2},
+      {"capacity is not known", {{40, {}}}, {9000, 90e6}, 4},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    const auto fronts = SelectFronts(MakeSized(one.mHosts), "dc0", one.mDemand);
+    CHECK(fronts.size() == one.mNamed);
+  }
+}
+
+TEST_CASE("fronts: no host is loaded beyond a part while others rest") {
+  CHECK(rc::check("fleets", [] {
+    const std::vector<Sizes> sizes = {
+        {*rc::gen::inRange<std::size_t>(0, 4), kLarge},
+        {*rc::gen::inRange<std::size_t>(2, 50), kSmall}};
+    const auto hosts = MakeSized(sizes);
+    const HostUse demand{static_cast<double>(*rc::gen::inRange(0, 3000)),
+                         static_cast<double>(*rc::gen::inRange(0, 60'000'000))};
+    const auto fronts = SelectFronts(hosts, "dc0", demand);
+    RC_ASSERT(fronts.size() >= 2U);
+    RC_ASSERT(fronts.size() <= 64U);
+    const double share = 1 / static_cast<double>(fronts.size());
+    constexpr double kOrdinaryUse = 0.25;
+    constexpr double kCorePerRequest = 250e-6;
+    for (const MemberRecord& host : hosts) {
+      const bool named = std::find(fronts.begin(), fronts.end(),
+                                   host.mFrontAddress) != fronts.end();
+      const bool loaded =
+          demand.mRequests * share * kCorePerRequest >
+              kOrdinaryUse * host.mCapacity.mCores ||
+          demand.mLinkBytes * share > kOrdinaryUse * host.mCapacity.mLinkBytes;
+      if (named && loaded) {
+        // It is one of all, or naming more would load weaker ones as much.
+        const bool restingIsWeaker = std::all_of(
+            hosts.begin(), hosts.end(), [&](const MemberRecord& aOther) {
+              const bool rests =
+                  std::find(fronts.begin(), fronts.end(),
+                            aOther.mFrontAddress) == fronts.end();
+              return !rests || aOther.mCapacity.mCores < host.mCapacity.mCores;
+            });
+        RC_ASSERT(restingIsWeaker);
+      }
+    }
+  }));
+}
+
+TEST_CASE("fronts: a burst on one data centre adds hosts and keeps them") {
+  constexpr std::size_t kHosts = 30;
+  std::vector<MemberRecord> others = MakeSized({{kHosts, kSmall}});
+  const MemberRecord self = others.back();
+  others.pop_back();
+  FrontDirectory directory(self);
+  directory.SetServing(true);
+  TimePoint now{std::chrono::hours(1)};
+  struct Step {
+    const char* mWhat;
+    /** Requests in a second, of the whole data centre. */
+    double mRequests;
+    std::chrono::seconds mFor;
+    std::size_t mLeast;
+    std::size_t mMost;
+  };
+  const std::vector<Step> steps = {
+      {"quiet", 40, std::chrono::seconds(5), 4, 4},
+      {"a burst", 700, std::chrono::seconds(2), 10, 13},
+      {"just after it", 40, std::chrono::seconds(2), 9, 13},
+      {"long after it", 40, std::chrono::seconds(60), 4, 4}};
+  std::vector<std::string> before;
+  for (const Step& step : steps) {
+    CAPTURE(step.mWhat);
+    for (MemberRecord& host : others) {
+      host.mUse.mRequests = step.mRequests / kHosts;
+    }
+    directory.SetUse(HostUse{step.mRequests / kHosts, 0});
+    directory.SetOthers(others);
+    auto fronts = directory.Select("dc0", now);
+    // Those that were named stay, so no caller of theirs has to move.
+    for (std::size_t index = 0; index < std::min(before.size(), fronts.size());
+         ++index) {
+      CHECK(fronts[index] == before[index]);
+    }
+    now += step.mFor;
+    directory.SetOthers(others);
+    fronts = directory.Select("dc0", now);
+    CHECK(fronts.size() >= step.mLeast);
+    CHECK(fronts.size() <= step.mMost);
+    before = fronts;
+  }
+}
+
+TEST_CASE("fronts: ten of fifty hosts that fail leave the others named") {
+  std::vector<MemberRecord> hosts = MakeSized({{2, kLarge}, {48, kSmall}});
+  const HostUse demand{300, 14e6};
+  const auto before = SelectFronts(hosts, "dc0", demand);
+  std::vector<std::string> killed;
+  for (std::size_t index = 0; index < 10; ++index) {
+    killed.push_back(before[index * 2]);
+  }
+  std::erase_if(hosts, [&killed](const MemberRecord& aHost) {
+    return std::find(killed.begin(), killed.end(), aHost.mFrontAddress) !=
+           killed.end();
+  });
+  const auto after = SelectFronts(hosts, "dc0", demand);
+  for (const std::string& front : before) {
+    const bool lives =
+        std::find(killed.begin(), killed.end(), front) == killed.end();
+    const bool named =
+        std::find(after.begin(), after.end(), front) != after.end();
+    CHECK(lives == named);
+  }
+}
+
+TEST_CASE("use meter: counts become what is carried in a second") {
+  UseMeter meter;
+  TimePoint now{std::chrono::hours(1)};
+  REQUIRE(meter.Measure(UseMeter::Totals{10, 1000, 500}, now));
+  now += std::chrono::milliseconds(100);
+  CHECK_FALSE(meter.Measure(UseMeter::Totals{20, 1000, 500}, now));
+  now += std::chrono::milliseconds(900);
+  const auto use = meter.Measure(UseMeter::Totals{60, 9000, 1500}, now);
+  REQUIRE(use);
+  CHECK(use->mRequests == doctest::Approx(50));
+  CHECK(use->mLinkBytes == doctest::Approx(9000));
+}
+
 TEST_CASE(
     "readers: from different data centres and those that fail come last") {
   std::vector<MemberRecord> hosts = MakeHosts(18, 4);
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -122,6 +122,60 @@
   }
 }
 
+TEST_CASE("gateway messages: what an endpoint asks for") {
+  struct Case {
+    int mStatus;
+    HeaderList mHeaders;
+    bool mLeaving;
+    Duration mStayAway;
+  };
+  const Duration none = Duration::zero();
+  const std::vector<Case> cases = {
+      {200, {}, false, none},
+      {200, {{"server-leaving", "1"}}, true, none},
+      {503,
+       {{"Server-Leaving", "1"}, {"Retry-After", "2"}},
+       true,
+       milliseconds(2000)},
+      {200, {{"Server-Leaving", "0"}}, false, none},
+      {503, {{"Retry-After", "0.25"}}, false, milliseconds(250)},
+      {200, {{"Retry-After", "5"}}, false, none},
+      {503, {{"Retry-After", "soon"}}, false, none},
+      {503, {{"Retry-After", "-3"}}, false, none},
+      {503, {{"Retry-After", "nan"}}, false, none},
+      {503, {{"Retry-After", "1e300"}}, false, std::chrono::hours(1)},
+      {503, {{"Retry-After", "Fri, 04 Dec 2026 10:00:00 GMT"}}, false, none},
+      // Another endpoint has the address now.
+      {421, {{"Server-Leaving", "1"}}, false, none},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mStatus);
+    EndpointAnswer answer;
+    answer.mOutcome = EndpointOutcome::Answered;
+    answer.mResponse = std::make_shared<Response>();
+    answer.mResponse->mStatus = one.mStatus;
+    answer.mResponse->mHeaders = one.mHeaders;
+    const EndpointNotice notice = ReadEndpointAnswer(answer).mNotice;
+    CHECK(notice.mLeaving == one.mLeaving);
+    CHECK(notice.mStayAway == one.mStayAway);
+    if (one.mStatus != 421) {
+      CHECK(ReadProbeAnswer("i-1", answer).mNotice.mLeaving == one.mLeaving);
+    }
+    answer.mResponse->mHeaders.emplace_back("Papayawheel-Instance-Id", "i-2");
+    CHECK_FALSE(ReadProbeAnswer("i-1", answer).mNotice.mLeaving);
+  }
+}
+
+TEST_CASE("gossip codec: no datagram ends the process") {
+  // The largest datagram there is, nested as deep as it can be.
+  constexpr std::size_t kLargest = 65507;
+  for (const char start : {'\x91', '\x81', '\xdc', '\xdd', '\xc4', '\xff'}) {
+    CHECK_FALSE(DecodeGossip(std::string(kLargest, start)));
+    CHECK_FALSE(DecodeGossip(std::string(2048, start)));
+  }
+  CHECK_FALSE(DecodeGossip(""));
+}
+
 TEST_CASE("gateway messages: refusals say when to come back") {
   GatewayAnswer answer;
   answer.mError = ErrorKind::Overloaded;
@@ -154,6 +208,8 @@
   message.mDoubts = {"h3"};
   message.mCrashes = {EndpointCrash{0xfedcba9876543210ULL, "i-1"}};
   message.mWantsRoster = true;
+  message.mSender.mCapacity = HostCapacity{0.5, 25e6};
+  message.mUse = HostUse{120, 3e6};
   const std::string datagram = EncodeGossip(message);
   const auto decoded = DecodeGossip(datagram);
   REQUIRE(decoded);
@@ -161,12 +217,15 @@
   CHECK(decoded->mRecords[1].IsBrief());
   CHECK(decoded->mWantsRoster);
   CHECK(decoded->mSender.mState == MemberState::Leaving);
+  CHECK(decoded->mSender.mCapacity.mLinkBytes == 25e6);
+  CHECK(decoded->mUse.mRequests == 120);
   for (std::size_t size = 0; size < datagram.size(); ++size) {
     CHECK_FALSE(DecodeGossip(datagram.substr(0, size)));
   }
   // Earlier programs do not say whether they want a roster.
   auto earlier = nlohmann::json::from_msgpack(datagram);
   earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
   std::string fromEarlier;
   nlohmann::json::to_msgpack(earlier, fromEarlier);
   const auto decodedEarlier = DecodeGossip(fromEarlier);
