A host that begins to read the store first sees whether it answers

Its three readers gave up at 7.9 s, three others became readers and, not having failed yet, began watches of 4 s, which were lost with the rest; they ended at 13.0 s, 2.7 s after the store's return. Until then the copy counted as vouched for, as a watch that is pending does. Ruled out: slow transfers (all hosts had version 6 within 0.3 s of the first).

--- a/core/view/view_keeper.cpp
+++ b/core/view/view_keeper.cpp
@@ -11,8 +11,9 @@
 /** How long the store lets a watch wait. A lost answer is noticed after it. */
 constexpr milliseconds kWatchTime{4000};
 
-/** The same after a failure: a store that is back is soon noticed, while a call
- * that was lost would last as long as it may wait. */
+/** The same after a failure, and if the store has not answered this host
+ * lately: one that is back is soon noticed, while a call that was lost would
+ * last as long as it may wait. */
 constexpr milliseconds kTrialTime{100};
 
 /** Changes that follow each other closely are fetched together. */
@@ -88,8 +89,10 @@
   }
   mWatching = true;
   mWatchingSince = aNow;
+  const bool mayBeAway =
+      mFailures > 0 || !mAnsweredAt || aNow - *mAnsweredAt > kMostAge;
   actions.emplace_back(
-      WatchStore{mView.AsOf(), mFailures > 0 ? kTrialTime : kWatchTime});
+      WatchStore{mView.AsOf(), mayBeAway ? kTrialTime : kWatchTime});
   return actions;
 }
 
@@ -202,6 +205,7 @@
   mCalling = false;
   mWatching = false;
   mFailures = 0;
+  mAnsweredAt = aNow;
   if (aDelta.mFull) {
     mNeedsFullRead = false;
   }
--- a/core/view/view_keeper.h
+++ b/core/view/view_keeper.h
@@ -112,6 +112,8 @@
   TimePoint mWatchingSince;
   bool mNeedsFullRead = true;
   std::uint32_t mFailures = 0;
+  /** When the store last answered this host. */
+  std::optional<TimePoint> mAnsweredAt;
   TimePoint mNextCall;
   bool mPulling = false;
   /** Hosts that told news during a pull, latest last. */
--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -140,6 +140,25 @@
   CHECK(fleet.Reaches(kNew, kPartedHost));
 }
 
+TEST_CASE("view: a store that comes back is noticed however long it was away") {
+  // Its calls hang meanwhile, also those of hosts that began to read when the
+  // first readers had failed.
+  for (const std::size_t hosts : {22U, 60U}) {
+    for (int halves = 2; halves <= 20; ++halves) {
+      CAPTURE(hosts);
+      CAPTURE(halves);
+      GossipFleet fleet(hosts, 4, 7);
+      fleet.Run(seconds(10));
+      fleet.SetStoreDown(true);
+      fleet.Run(milliseconds(500) * halves);
+      fleet.SetStoreDown(false);
+      fleet.Run(milliseconds(100));
+      const std::uint64_t revision = fleet.Publish();
+      CHECK(fleet.TimeUntilKnown(revision, seconds(2), {}));
+    }
+  }
+}
+
 TEST_CASE("view: a change is known everywhere within its bound") {
   struct Case {
     std::string mWhat;
