A host that stops writes its answers to their end; endless and malformed input tested on processes

Cause: the process ended as soon as no request ran, while answers were still being written: a caller that read 60 MB in 5 s lost the rest after a SIGTERM (the new process test, on the program before). Ruled out: small answers, which the system's buffers take (7 MB passed). Change: the server counts answers that are not written; the process ends after 150 ms without a request or an answer under way, at the latest at the end of its grace, as before. What an endpoint asks for is logged.

--- a/drivers/http_server.cpp
+++ b/drivers/http_server.cpp
@@ -57,10 +57,26 @@
   using connection_state_listener_t = ClosedListener;
 };
 
+/** Counts one answer until it is written or its connection has ended. */
+class UnsentAnswer {
+ public:
+  explicit UnsentAnswer(std::shared_ptr<std::size_t> aCount)
+      : mCount(std::move(aCount)) {
+    ++*mCount;
+  }
+  ~UnsentAnswer() { --*mCount; }
+  UnsentAnswer(const UnsentAnswer&) = delete;
+  UnsentAnswer& operator=(const UnsentAnswer&) = delete;
+
+ private:
+  std::shared_ptr<std::size_t> mCount;
+};
+
 class RestinioExchange : public HttpExchange {
  public:
-  explicit RestinioExchange(restinio::request_handle_t aRequest)
-      : mRequest(std::move(aRequest)) {}
+  RestinioExchange(restinio::request_handle_t aRequest,
+                   std::shared_ptr<std::size_t> aUnsent)
+      : mRequest(std::move(aRequest)), mUnsent(std::move(aUnsent)) {}
 
   std::string Method() const override {
     return mRequest->header().method().c_str();
@@ -121,7 +137,9 @@
     } else {
       response.set_body(aReply.mBody);
     }
-    response.done();
+    // The server drops the callback once the answer is written or cannot be.
+    response.done([unsent = std::make_shared<UnsentAnswer>(mUnsent)](
+                      const auto& /*aError*/) {});
   }
 
  private:
@@ -131,6 +149,7 @@
   }
 
   restinio::request_handle_t mRequest;
+  std::shared_ptr<std::size_t> mUnsent;
   bool mReplied = false;
 };
 
@@ -143,16 +162,18 @@
       : mServer(restinio::external_io_context(aContext),
                 [&](auto& aServerSettings) {
                   Configure(aServerSettings, aSettings, std::move(aHandler),
-                            std::move(aClosedHandler));
+                            std::move(aClosedHandler), mUnsent);
                 }) {}
 
+  std::shared_ptr<std::size_t> mUnsent = std::make_shared<std::size_t>(0);
   restinio::http_server_t<ServerTraits> mServer;
 
  private:
   template <typename ServerSettings>
   static void Configure(ServerSettings& aServerSettings,
                         const HttpServerSettings& aSettings, Handler aHandler,
-                        ClosedHandler aClosedHandler) {
+                        ClosedHandler aClosedHandler,
+                        const std::shared_ptr<std::size_t>& aUnsent) {
     using ReusePort =
         asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
     const bool sharePort = aSettings.mSharePort;
@@ -181,9 +202,10 @@
         })
         .connection_state_listener(
             std::make_shared<ClosedListener>(std::move(aClosedHandler)))
-        .request_handler([handler = std::move(aHandler)](
-                             restinio::request_handle_t aRequest) {
-          handler(std::make_shared<RestinioExchange>(std::move(aRequest)));
+        .request_handler([handler = std::move(aHandler),
+                          aUnsent](restinio::request_handle_t aRequest) {
+          handler(
+              std::make_shared<RestinioExchange>(std::move(aRequest), aUnsent));
           return restinio::request_accepted();
         });
   }
@@ -207,6 +229,8 @@
   }
 }
 
+std::size_t HttpServer::Unsent() const { return *mImpl->mUnsent; }
+
 void HttpServer::Stop() { mImpl->mServer.close_sync(); }
 
 }  // namespace papayawheel
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -80,6 +80,9 @@
   /** Stops listening and closes all connections. */
   void Stop();
 
+  /** Answers that are not written to their end yet. */
+  [[nodiscard]] std::size_t Unsent() const;
+
   [[nodiscard]] const std::string& LastError() const { return mLastError; }
 
  private:
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -29,6 +29,11 @@
 /** A host that stops takes new requests for this long. */
 constexpr milliseconds kTakingAfterLeave{3000};
 
+/** It ends when nothing has been under way for this long: a request that was
+ * sent before the caller heard of the end may be on its way. */
+constexpr milliseconds kQuietBeforeEnd{150};
+constexpr milliseconds kQuietCheck{50};
+
 /** A host that stops ends this long before its grace does. */
 constexpr milliseconds kGraceReserve{400};
 
@@ -286,6 +291,7 @@
       WriteProbe(aProbe), [this, aProbe](const EndpointAnswer& aAnswer) {
         mProbing.erase(aProbe.mProbe);
         const ProbeReply reply = ReadProbeAnswer(aProbe.mEndpoint, aAnswer);
+        LogNotice(aProbe.mEndpoint, reply.mNotice);
         Act(mEngine.ProbeEnded(aProbe.mProbe, reply, mClock.Now()));
       });
   mProbing[aProbe.mProbe] = id;
@@ -307,6 +313,7 @@
          {"result", AttemptResultName(reply.mResult)},
          {"reason", aAnswer.mReason}});
   }
+  LogNotice(aStart.mEndpoint, reply.mNotice);
   Act(mEngine.AttemptEnded(aStart.mAttempt, reply, mClock.Now()));
 }
 
@@ -343,6 +350,7 @@
   const TimePoint end = mLeavingSince + mSettings.mGrace - kGraceReserve;
   if (mLeaving && !mDone) {
     mTimerDue = std::min(mTimerDue, std::max(end, now));
+    mTimerDue = std::min<TimePoint>(mTimerDue, now + kQuietCheck);
   }
   mTimer.expires_after(mTimerDue - now);
   AwaitTurn();
@@ -374,13 +382,25 @@
   mHooks.mPaused();
 }
 
+bool GatewayTraffic::IsIdle() const {
+  const bool sent =
+      std::all_of(mServers.begin(), mServers.end(),
+                  [](const auto& aServer) { return aServer->Unsent() == 0; });
+  return sent && mEngine.InFlight() == 0;
+}
+
 void GatewayTraffic::CheckDone() {
   if (!mLeaving || mDone) {
     return;
   }
-  const auto passed = mClock.Now() - mLeavingSince;
-  const bool idle = passed >= kTakingAfterLeave && mEngine.InFlight() == 0;
-  if (idle || passed >= mSettings.mGrace - kGraceReserve) {
+  const TimePoint now = mClock.Now();
+  if (!IsIdle()) {
+    mBusyAt = now;
+  }
+  const auto passed = now - mLeavingSince;
+  const bool quiet =
+      passed >= kTakingAfterLeave && now - mBusyAt >= kQuietBeforeEnd;
+  if (quiet || passed >= mSettings.mGrace - kGraceReserve) {
     mDone = true;
     mHooks.mDone();
   }
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -84,6 +84,9 @@
                  const HttpReply& aReply) const;
   void StartSending(const StartAttempt& aStart);
   void Probe(const StartProbe& aProbe);
+  /** Logs what an endpoint asked for. */
+  static void LogNotice(const std::string& aEndpoint,
+                        const EndpointNotice& aNotice);
   void AttemptEnded(const StartAttempt& aStart, const EndpointAnswer& aAnswer);
   void Turn();
   void ScheduleTurn();
@@ -91,6 +94,8 @@
   void AwaitTurn();
   void CheckPause();
   void CheckDone();
+  /** Whether no request runs and no answer is still being written. */
+  [[nodiscard]] bool IsIdle() const;
   /** Measures what callers make this host carry, from time to time. */
   void MeasureUse(TimePoint aNow);
   void ForgetGoneEndpoints(const EndpointMap& aNow);
@@ -116,6 +121,8 @@
   bool mLeaving = false;
   bool mDone = false;
   TimePoint mLeavingSince;
+  /** When the last request or answer was under way after Leave(). */
+  TimePoint mBusyAt;
   TimePoint mLastTurn;
   UseMeter mUseMeter;
   std::string mLastError;
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -43,6 +43,16 @@
        {"revision", mView == nullptr ? 0 : mView->mRevision}});
 }
 
+void GatewayTraffic::LogNotice(const std::string& aEndpoint,
+                               const EndpointNotice& aNotice) {
+  if (aNotice.mLeaving || aNotice.mStayAway > Duration::zero()) {
+    Log(LogLevel::Info, "endpoint_notice",
+        {{"endpoint", aEndpoint},
+         {"leaving", aNotice.mLeaving},
+         {"stay_away_us", aNotice.mStayAway.count()}});
+  }
+}
+
 std::string GatewayTraffic::RenderMetrics() {
   std::promise<std::string> rendered;
   asio::post(mContext, [this, &rendered] {
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -8,11 +8,15 @@
 #include <asio/steady_timer.hpp>
 #include <asio/streambuf.hpp>
 #include <asio/write.hpp>
+#include <chrono>
 #include <istream>
+#include <map>
 #include <memory>
+#include <optional>
 
 #include "core/config/address.h"
 #include "drivers/program_settings.h"
+#include "platform/names.h"
 
 namespace {
 
@@ -24,8 +28,34 @@
   std::string mText;
   /** Close the connection afterwards. */
   bool mClose = false;
+  /** What is sent again and again afterwards, until the other side closes the
+   * connection. */
+  std::string mEndless = {};
+  /** The pause between two of them. */
+  std::chrono::milliseconds mPause{0};
 };
 
+/** Bytes that never end, by the last part of a target. */
+std::optional<Script> EndlessScriptFor(const std::string& aTarget) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::map<std::string, Script> scripts = {
+      {"endless-head", {head, false, "X-Filler: yyyyyyyyyyyyyyyyyyyyyyyy\r\n"}},
+      {"endless-value", {head + "X: ", false, "yyyyyyyyyyyyyyyyyyyyyyyyyyy"}},
+      {"endless-body", {head + "\r\n", false, "zzzzzzzzzzzzzzzzzzzzzzzzzzz"}},
+      {"endless-chunks", {chunked, false, "4\r\nzzzz\r\n"}},
+      {"endless-chunk", {chunked + "8000000000000000\r\n", false, "zzzzzzzz"}},
+      {"endless-trailers", {chunked + "0\r\n", false, "X-Filler: yyyy\r\n"}},
+      {"endless-interim", {"", false, "HTTP/1.1 100 Continue\r\n\r\n"}},
+      {"endless-garbage", {"", false, "no answer "}},
+      {"drip",
+       {head + "Content-Length: 1000\r\n\r\n", false, "z",
+        std::chrono::milliseconds(100)}},
+  };
+  const auto found = scripts.find(aTarget.substr(aTarget.rfind('/') + 1));
+  return found == scripts.end() ? std::nullopt : std::optional(found->second);
+}
+
 Script ScriptFor(const std::string& aTarget) {
   const std::string head = "HTTP/1.1 200 OK\r\n";
   if (aTarget == "/short") {
@@ -52,6 +82,14 @@
   if (aTarget == "/garbage") {
     return {"this is not HTTP\r\n\r\n", true};
   }
+  if (const auto endless = EndlessScriptFor(aTarget)) {
+    return *endless;
+  }
+  if (aTarget == "/health") {
+    return {head + std::string(platform::kLoadHeader) +
+                ": 0,0,4,100\r\nContent-Length: 0\r\n\r\n",
+            false};
+  }
   const std::string body = "whole " + aTarget;
   return {fmt::format("{}Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
                       "Content-Length: {}\r\n\r\n{}",
@@ -62,7 +100,8 @@
 /** Answers the requests of one connection. */
 class Session : public std::enable_shared_from_this<Session> {
  public:
-  explicit Session(tcp::socket aSocket) : mSocket(std::move(aSocket)) {}
+  explicit Session(tcp::socket aSocket)
+      : mSocket(std::move(aSocket)), mTimer(mSocket.get_executor()) {}
 
   void Read() {
     auto self = shared_from_this();
@@ -87,13 +126,38 @@
     auto self = shared_from_this();
     asio::async_write(mSocket, asio::buffer(mScript.mText),
                       [self](asio::error_code aError, std::size_t) {
-                        if (!aError && !self->mScript.mClose) {
+                        if (aError || self->mScript.mClose) {
+                          return;
+                        }
+                        if (self->mScript.mEndless.empty()) {
                           self->Read();
+                        } else {
+                          self->Repeat();
                         }
                       });
   }
 
+  /** Sends the endless part until the other side closes. */
+  void Repeat() {
+    constexpr std::size_t kPiece = 16384;
+    const bool drips = mScript.mPause.count() > 0;
+    while (!drips && mScript.mEndless.size() < kPiece) {
+      mScript.mEndless += mScript.mEndless;
+    }
+    auto self = shared_from_this();
+    mTimer.expires_after(mScript.mPause);
+    mTimer.async_wait([self](asio::error_code) {
+      asio::async_write(self->mSocket, asio::buffer(self->mScript.mEndless),
+                        [self](asio::error_code aError, std::size_t) {
+                          if (!aError) {
+                            self->Repeat();
+                          }
+                        });
+    });
+  }
+
   tcp::socket mSocket;
+  asio::steady_timer mTimer;
   asio::streambuf mInput;
   Script mScript;
 };
--- a/standins/route_endpoint_main.cpp
+++ b/standins/route_endpoint_main.cpp
@@ -93,6 +93,8 @@
       reply.mHeaders.emplace_back(platform::kProofHeader, "proof-" + mId);
       reply.mBody = fmt::format("{} {} {} {}\n", mId, aExchange->Method(),
                                 aExchange->Target(), aExchange->Body());
+      // A query "bytes=N" asks for a body that is longer by so much.
+      reply.mBody.append(QueryNumber(aExchange->Target(), "bytes"), 'x');
     }
     aExchange->Reply(reply);
   }
