--- a/misc/test.sh
+++ b/misc/test.sh
@@ -6,4 +6,5 @@
 misc/build.sh
 misc/build_deployed.sh
 misc/lint.sh
+misc/fuzz.sh
 misc/run_tests.sh
--- a/tests/drivers/test_endpoint_client.cpp
+++ b/tests/drivers/test_endpoint_client.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -17,6 +18,9 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
+/** The end of a text after which a connection is reset instead of closed. */
+constexpr std::string_view kReset = "(reset)";
+
 /** An endpoint that answers each connection from a script, on the context of
  * the test. */
 class ScriptedEndpoint {
@@ -63,6 +67,9 @@
           const std::string text = mScript.at(mNext++);
           asio::write(aPeer->mSocket, asio::buffer(text));
           if (mCloseAfterwards) {
+            // Resets the connection, if the text asks for it.
+            const bool resets = text.ends_with(kReset);
+            aPeer->mSocket.set_option(asio::socket_base::linger(resets, 0));
             aPeer->mSocket.close();
             return;
           }
@@ -174,6 +181,13 @@
        {Outcome::Garbled},
        {""},
        1},
+      {"an answer without length that is reset is not whole",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\npart (reset)"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
       {"bytes that are no answer",
        {"\x01\x02garbage\r\n\r\n"},
        true,
--- /dev/null
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -0,0 +1,58 @@
+// Takes bytes as a datagram and as a transfer between hosts, and lets a host
+// act on what they say.
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "core/gossip/gossip_engine.h"
+#include "core/view/view_keeper.h"
+#include "servers/gossip_codec.h"
+
+namespace {
+
+using namespace papayawheel;
+
+const TimePoint kNow{std::chrono::hours(1)};
+
+void TakeDatagram(const std::string& aText) {
+  const auto message = DecodeGossip(aText);
+  if (!message) {
+    return;
+  }
+  MemberRecord self;
+  self.mName = "h0";
+  self.mDataCentre = "a";
+  self.mGossipAddress = "10.0.0.1:1";
+  GossipEngine engine(self, 1);
+  ViewKeeper keeper(kNow, 1, true);
+  engine.Tick(kNow);
+  for (const Datagram& datagram : engine.Arrived(*message, kNow)) {
+    EncodeGossip(datagram.mMessage);
+  }
+  keeper.PeerTold("10.0.0.2:1", message->mView, kNow);
+  keeper.Tick(false, kNow);
+  engine.Tick(kNow + std::chrono::seconds(1));
+}
+
+void TakeTransfer(const std::string& aText) {
+  const auto transfer = DecodeView(aText);
+  if (!transfer) {
+    return;
+  }
+  ViewKeeper keeper(kNow, 1, true);
+  keeper.Pulled(transfer->mDelta, transfer->mAge, kNow);
+  keeper.Offer(0, kNow);
+  static_cast<void>(keeper.Summary(kNow));
+}
+
+}  // namespace
+
+// NOLINTNEXTLINE(readability-identifier-naming)
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* aData,
+                                      std::size_t aSize) {
+  const std::string text(reinterpret_cast<const char*>(aData), aSize);
+  TakeDatagram(text);
+  TakeTransfer(text);
+  return 0;
+}
