A roster is asked for only when a whole data centre is regained

Hosts that restart in turn count as lost for a minute, so every host that was missed for a moment was asked for a roster as long as the fleet, every 3 s by each host. Ruled out by reading: use told at once, which stays in its data centre. Change: one is asked when none of its data centre was reached before, once in 30 s.

--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -30,12 +30,10 @@
     milliseconds(300), milliseconds(700), milliseconds(1500),
     milliseconds(2500)};
 
-/** Hosts on the other side of a partition may have met others meanwhile. They
- * are asked for their rosters if this part of the known hosts was lost, which
- * is less than a data centre, and no more often than this. */
-constexpr std::size_t kPartitionPart = 8;
-constexpr std::size_t kLeastParted = 2;
-constexpr seconds kRegainedPause{3};
+/** Hosts on the other side of a partition may have met others meanwhile. One is
+ * asked for its roster when a data centre is regained of which none was
+ * reached, no more often than this: a roster is as long as the fleet. */
+constexpr seconds kRegainedPause{30};
 
 /** How often one host passes a record on. */
 constexpr std::uint32_t kTellings = 6;
@@ -332,11 +330,11 @@
   if (!regained) {
     return false;
   }
-  const auto lost = static_cast<std::size_t>(
-      std::count_if(mMembers.begin(), mMembers.end(), [](const auto& aEntry) {
-        return aEntry.second.mWasReached && !aEntry.second.mReachable;
-      }));
-  return lost >= std::max(kLeastParted, mMembers.size() / kPartitionPart);
+  return std::none_of(
+      mMembers.begin(), mMembers.end(), [&sender](const auto& aEntry) {
+        return aEntry.second.mReachable &&
+               aEntry.second.mRecord.mDataCentre == sender.mRecord.mDataCentre;
+      });
 }
 
 bool GossipEngine::TakeSender(const GossipMessage& aMessage, TimePoint aNow) {
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -101,8 +101,8 @@
   void AskForRosters(TimePoint aNow);
   /** Asks one host of the data centre, else any. */
   void AskForRoster(TimePoint aNow, Datagrams& aDatagrams);
-  /** Whether a message comes from a host that was lost together with many
-   * others, as when a network partition ends. */
+  /** Whether a message comes from a host that was lost together with its whole
+   * data centre, as when a network partition ends. */
   [[nodiscard]] bool EndsPartition(const MemberRecord& aSender) const;
   void PingSome(TimePoint aNow, Datagrams& aDatagrams);
   void PingNext(bool aNear, std::size_t aCount, TimePoint aNow,
