Logs tell the steps of the proof that a request crashes endpoints

The log could not tell a proof that is never seen from one that is not told, or from repeats that are not recognised. Lines now: crash_note, and the fingerprint on attempt_failed and request_failed. No decision changed.

--- a/core/gateway/crash_watch.cpp
+++ b/core/gateway/crash_watch.cpp
@@ -17,12 +17,35 @@
 
 }  // namespace
 
+std::string_view CrashNoteName(CrashNote::Kind aKind) {
+  switch (aKind) {
+    case CrashNote::Kind::Suspected:
+      return "suspected";
+    case CrashNote::Kind::Confirmed:
+      return "confirmed";
+    case CrashNote::Kind::Acquitted:
+      return "acquitted";
+    case CrashNote::Kind::Unproved:
+      return "unproved";
+    case CrashNote::Kind::Told:
+      return "told";
+  }
+  return "unknown";
+}
+
 void CrashWatch::NoteLost(const EndpointCrash& aCrash, TimePoint aNow) {
   std::vector<Lost>& lost = mLost[aCrash.mEndpoint];
+  for (const Lost& one : lost) {
+    if (aNow - one.mAt > kConfirmTime) {
+      AddNote(CrashNote::Kind::Unproved,
+              EndpointCrash{one.mFingerprint, aCrash.mEndpoint}, aNow);
+    }
+  }
   std::erase_if(lost, [aNow](const Lost& aLost) {
     return aNow - aLost.mAt > kConfirmTime;
   });
   lost.push_back(Lost{aCrash.mFingerprint, aNow});
+  AddNote(CrashNote::Kind::Suspected, aCrash, aNow);
 }
 
 void CrashWatch::NoteUnreachable(const std::string& aEndpoint, TimePoint aNow) {
@@ -33,19 +56,35 @@
   const std::vector<Lost> lost = std::move(found->second);
   mLost.erase(found);
   for (const Lost& one : lost) {
-    if (aNow - one.mAt <= kConfirmTime) {
-      const EndpointCrash crash{one.mFingerprint, aEndpoint};
-      NoteCrash(crash, aNow);
-      mNews.push_back(crash);
+    const EndpointCrash crash{one.mFingerprint, aEndpoint};
+    if (aNow - one.mAt > kConfirmTime) {
+      AddNote(CrashNote::Kind::Unproved, crash, aNow);
+      continue;
     }
+    Record(crash, aNow);
+    AddNote(CrashNote::Kind::Confirmed, crash, aNow);
+    mNews.push_back(crash);
   }
 }
 
-void CrashWatch::NoteAlive(const std::string& aEndpoint) {
-  mLost.erase(aEndpoint);
+void CrashWatch::NoteAlive(const std::string& aEndpoint, TimePoint aNow) {
+  const auto found = mLost.find(aEndpoint);
+  if (found == mLost.end()) {
+    return;
+  }
+  for (const Lost& one : found->second) {
+    AddNote(CrashNote::Kind::Acquitted,
+            EndpointCrash{one.mFingerprint, aEndpoint}, aNow);
+  }
+  mLost.erase(found);
 }
 
 void CrashWatch::NoteCrash(const EndpointCrash& aCrash, TimePoint aNow) {
+  Record(aCrash, aNow);
+  AddNote(CrashNote::Kind::Told, aCrash, aNow);
+}
+
+void CrashWatch::Record(const EndpointCrash& aCrash, TimePoint aNow) {
   std::erase_if(mSuspects, [aNow](const auto& aEntry) {
     return aEntry.second.mExpires <= aNow;
   });
@@ -66,6 +105,16 @@
   return std::exchange(mNews, {});
 }
 
+std::vector<CrashNote> CrashWatch::TakeNotes() {
+  return std::exchange(mNotes, {});
+}
+
+void CrashWatch::AddNote(CrashNote::Kind aKind, const EndpointCrash& aCrash,
+                         TimePoint aNow) {
+  mNotes.push_back(
+      CrashNote{aKind, aCrash, Crashes(aCrash.mFingerprint, aNow)});
+}
+
 std::size_t CrashWatch::Crashes(std::uint64_t aFingerprint,
                                 TimePoint aNow) const {
   const auto found = mSuspects.find(aFingerprint);
--- a/core/gateway/crash_watch.h
+++ b/core/gateway/crash_watch.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/base/clock.h"
@@ -17,6 +18,31 @@
   std::string mEndpoint;
 };
 
+/** A step towards or away from the proof that a request crashed an endpoint;
+ * for logs. */
+struct CrashNote {
+  enum class Kind {
+    /** The connection broke while the endpoint had the request. */
+    Suspected,
+    /** The endpoint turned out to have ended. */
+    Confirmed,
+    /** The endpoint answered, so it lives. */
+    Acquitted,
+    /** Neither was seen in time. */
+    Unproved,
+    /** Another host confirmed it. */
+    Told,
+  };
+
+  Kind mKind = Kind::Suspected;
+  EndpointCrash mCrash;
+  /** Crashes by requests like this one that are known after this step. */
+  std::size_t mCrashes = 0;
+};
+
+/** The word of a step in logs. */
+std::string_view CrashNoteName(CrashNote::Kind aKind);
+
 /** Recognises requests that crash the endpoints that run them. A request whose
  * connection broke is only suspected: an endpoint may lose an answer and live
  * on. It counts once the endpoint cannot be reached soon afterwards. */
@@ -29,7 +55,7 @@
   void NoteUnreachable(const std::string& aEndpoint, TimePoint aNow);
 
   /** An endpoint answered. */
-  void NoteAlive(const std::string& aEndpoint);
+  void NoteAlive(const std::string& aEndpoint, TimePoint aNow);
 
   /** Another host tells of a crash. */
   void NoteCrash(const EndpointCrash& aCrash, TimePoint aNow);
@@ -45,6 +71,9 @@
   /** Crashes seen here since the last call. */
   std::vector<EndpointCrash> TakeNews();
 
+  /** Steps since the last call. */
+  std::vector<CrashNote> TakeNotes();
+
  private:
   struct Lost {
     std::uint64_t mFingerprint = 0;
@@ -55,6 +84,9 @@
     TimePoint mExpires;
   };
 
+  void Record(const EndpointCrash& aCrash, TimePoint aNow);
+  void AddNote(CrashNote::Kind aKind, const EndpointCrash& aCrash,
+               TimePoint aNow);
   [[nodiscard]] std::size_t Crashes(std::uint64_t aFingerprint,
                                     TimePoint aNow) const;
 
@@ -62,6 +94,7 @@
   std::map<std::string, std::vector<Lost>> mLost;
   std::map<std::uint64_t, Suspect> mSuspects;
   std::vector<EndpointCrash> mNews;
+  std::vector<CrashNote> mNotes;
 };
 
 }  // namespace papayawheel
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -52,6 +52,8 @@
   std::string mRoute;
   /** For logs: endpoints that the call was sent to, the last one last. */
   std::vector<std::string> mEndpoints;
+  /** For logs: the same for all requests that are alike. */
+  std::uint64_t mFingerprint = 0;
 };
 
 /** Send a call to an endpoint. */
@@ -66,6 +68,8 @@
    * than usual that is. */
   Duration mExpected{0};
   double mSlowdown = 1;
+  /** For logs: the same for all requests that are alike. */
+  std::uint64_t mFingerprint = 0;
   /** The request must not meet a connection that the endpoint may be closing.
    */
   bool mNeedsFreshConnection = false;
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -282,6 +282,7 @@
       std::chrono::duration_cast<Duration>(aCall.mDeadline - aNow);
   start.mExpected = aChoice.mExpected;
   start.mSlowdown = aChoice.mSlowdown;
+  start.mFingerprint = aCall.mFingerprint;
   start.mNeedsFreshConnection = aCall.mRoute.mKind == RouteKind::AtMostOnce;
   aActions.emplace_back(std::move(start));
   const bool mayHedge = aCall.mRoute.mKind == RouteKind::Idempotent &&
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -218,7 +218,7 @@
   ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
   switch (aReply.mResult) {
     case AttemptResult::Answered:
-      mCrashes.NoteAlive(attempt.mEndpoint);
+      mCrashes.NoteAlive(attempt.mEndpoint, aNow);
       if (!failed) {
         mTypical.try_emplace(call.mRoute.mName, work)
             .first->second.Note(Scaled(
@@ -383,9 +383,9 @@
   ++mCounts.mAnswered;
   const Call& call = mCalls.at(aId);
   if (!call.mCallerLeft) {
-    aActions.emplace_back(GatewayAnswer{aId, std::move(aResponse),
-                                        ErrorKind::BadRequest, Duration::zero(),
-                                        call.mRoute.mName, call.mTried});
+    aActions.emplace_back(GatewayAnswer{
+        aId, std::move(aResponse), ErrorKind::BadRequest, Duration::zero(),
+        call.mRoute.mName, call.mTried, call.mFingerprint});
   }
   Finish(aId, aActions);
 }
@@ -399,7 +399,8 @@
   ++mCounts.mErrors[error];
   if (!call.mCallerLeft) {
     aActions.emplace_back(GatewayAnswer{aId, nullptr, error, RetryAfter(call),
-                                        call.mRoute.mName, call.mTried});
+                                        call.mRoute.mName, call.mTried,
+                                        call.mFingerprint});
   }
   Finish(aId, aActions);
 }
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -83,6 +83,9 @@
   /** Crashes seen here since the last call, to be told to the other hosts. */
   std::vector<EndpointCrash> TakeCrashes() { return mCrashes.TakeNews(); }
 
+  /** What was learnt of crashes since the last call. */
+  std::vector<CrashNote> TakeCrashNotes() { return mCrashes.TakeNotes(); }
+
   [[nodiscard]] const GatewayCounts& Counts() const { return mCounts; }
   [[nodiscard]] std::size_t InFlight() const { return mCalls.size(); }
 
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -152,8 +152,10 @@
 }
 
 void GatewayTraffic::NoteCrash(const EndpointCrash& aCrash) {
-  asio::post(mContext,
-             [this, aCrash] { mEngine.NoteRemoteCrash(aCrash, mClock.Now()); });
+  asio::post(mContext, [this, aCrash] {
+    mEngine.NoteRemoteCrash(aCrash, mClock.Now());
+    LogCrashNotes();
+  });
 }
 
 void GatewayTraffic::Leave() {
@@ -234,6 +236,7 @@
       Cancel(mSending, cancel->mAttempt);
     }
   }
+  LogCrashNotes();
   if (const auto crashes = mEngine.TakeCrashes(); !crashes.empty()) {
     mHooks.mCrashesSeen(crashes);
   }
@@ -311,6 +314,7 @@
          {"endpoint", aStart.mEndpoint},
          {"address", aStart.mAddress},
          {"result", AttemptResultName(reply.mResult)},
+         {"fingerprint", fmt::format("{:016x}", aStart.mFingerprint)},
          {"reason", aAnswer.mReason}});
   }
   LogNotice(aStart.mEndpoint, reply.mNotice);
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -87,6 +87,8 @@
   /** Logs what an endpoint asked for. */
   static void LogNotice(const std::string& aEndpoint,
                         const EndpointNotice& aNotice);
+  /** Logs what was learnt of requests that crash endpoints. */
+  void LogCrashNotes();
   void AttemptEnded(const StartAttempt& aStart, const EndpointAnswer& aAnswer);
   void Turn();
   void ScheduleTurn();
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -38,6 +38,7 @@
        {"error", AnswerOf(aAnswer.mError).mName},
        {"status", aReply.mStatus},
        {"endpoints", endpoints},
+       {"fingerprint", fmt::format("{:016x}", aAnswer.mFingerprint)},
        {"took_us", took.count()},
        {"retry_after_us", aAnswer.mRetryAfter.count()},
        {"revision", mView == nullptr ? 0 : mView->mRevision}});
@@ -53,6 +54,16 @@
   }
 }
 
+void GatewayTraffic::LogCrashNotes() {
+  for (const CrashNote& note : mEngine.TakeCrashNotes()) {
+    Log(LogLevel::Info, "crash_note",
+        {{"step", CrashNoteName(note.mKind)},
+         {"fingerprint", fmt::format("{:016x}", note.mCrash.mFingerprint)},
+         {"endpoint", note.mCrash.mEndpoint},
+         {"crashes", note.mCrashes}});
+  }
+}
+
 std::string GatewayTraffic::RenderMetrics() {
   std::promise<std::string> rendered;
   asio::post(mContext, [this, &rendered] {
--- a/tests/core/test_crash_watch.cpp
+++ b/tests/core/test_crash_watch.cpp
@@ -29,7 +29,7 @@
   CrashWatch watch;
   for (const char* const endpoint : {"a", "b", "c"}) {
     watch.NoteLost(EndpointCrash{7, endpoint}, kStart);
-    watch.NoteAlive(endpoint);
+    watch.NoteAlive(endpoint, kStart);
     watch.NoteUnreachable(endpoint, kStart + milliseconds(100));
     watch.NoteLost(EndpointCrash{7, endpoint}, kStart + milliseconds(200));
     // Unreachable only much later, for another reason.
