--- a/standins/route_endpoint_main.cpp
+++ b/standins/route_endpoint_main.cpp
@@ -6,6 +6,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -69,6 +70,10 @@
     fmt::print("run={} method={} endpoint={} at_ms={}\n", *id,
                aExchange->Method(), mId, now.count());
     std::fflush(stdout);
+    if (QueryNumber(aExchange->Target(), "crash") == 1) {
+      // Ends as a crash does: nothing is answered, connections are reset.
+      std::_Exit(EXIT_FAILURE);
+    }
     const auto timer = std::make_shared<asio::steady_timer>(mContext, mWork);
     timer->async_wait([this, timer, aExchange](asio::error_code) {
       --mRunning;
--- /dev/null
+++ b/tests/process/gateway_crashing_request.sh
@@ -0,0 +1,61 @@
+#!/usr/bin/env bash
+# Guards against a request that crashes endpoints and is sent to one after the
+# other, through every gateway, as often as its caller comes again (BUDGET).
+# Endpoints that fell are back after some seconds, as new ones.
+set -euo pipefail
+source "$(dirname "$0")/../../misc/fleet.sh"
+source "$(dirname "$0")/../../misc/gateway_fleet.sh"
+start_gateways 3
+for name in o3 o4 o5 o6; do start_route_endpoint "$name" orders; done
+for name in c3 c4 c5 c6; do start_route_endpoint "$name" catalogue; done
+declare -A id_of=() fell_at=()
+births=0
+
+# revive_fallen: starts the endpoints that fell some seconds ago, under new ids.
+revive_fallen() {
+  local name service
+  for name in "${!endpoint_address[@]}"; do
+    kill -0 "${pid_of[$name]}" 2>/dev/null && continue
+    [ -n "${fell_at[$name]:-}" ] || { fell_at[$name]=$SECONDS; continue; }
+    [ $((SECONDS - fell_at[$name])) -ge 2 ] || continue
+    unset "fell_at[$name]"
+    service=orders
+    [ "${name:0:1}" = c ] && service=catalogue
+    remove "servers/${id_of[$name]:-$name}"
+    id_of[$name]="$name-$((++births))"
+    start "$name" papayawheel-standin-route-endpoint --id "${id_of[$name]}" \
+      --address "${endpoint_address[$name]}"
+    wait_for 5 is_up "${endpoint_address[$name]}"
+    put "servers/${id_of[$name]}" \
+      "$(entry "${id_of[$name]}" "${endpoint_address[$name]}" "$service" ready $((2000 + births)))"
+  done
+}
+
+# fallen KIND: endpoints that fell by the requests of a kind.
+fallen() { cat "$work"/[oc]?.log | grep -c "^run=$1-" || true; }
+
+# come_again ROUND GATEWAY: both requests come again, and others beside them.
+come_again() {
+  ask "$2" GET "/read/bad?crash=1" "safe-$1" >"$work/safe" || true
+  ask "$2" POST "/order/bad?crash=1" "once-$1" >"$work/once" || true
+  ask "$2" GET "/read/good$1" "good-$1" >>"$work/good"
+}
+
+for round in $(seq 1 18); do
+  come_again "$round" "g$((round % 3 + 1))"
+  revive_fallen
+  sleep 0.5
+done
+echo "fell: $(fallen safe) by a safe request, $(fallen once) by one that runs once"
+expect "at most three endpoints fell by a safe request" [ "$(fallen safe)" -le 3 ]
+expect "at most three fell by one that runs once" [ "$(fallen once)" -le 3 ]
+kill -KILL "${pid_of[g2]}"
+start_gateway g2 2
+wait_for_gateways
+before="$(fallen safe) $(fallen once)"
+come_again 19 g2
+expect "a gateway that starts knows of them" \
+  [ "$(fallen safe) $(fallen once)" = "$before" ]
+expect "they are refused as not run" grep -q '^503 quarantined' "$work/safe"
+expect "other requests are answered" \
+  [ "$(grep -c '^200 ' "$work/good")" -eq "$(wc -l <"$work/good")" ]
