--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -335,6 +335,12 @@
   }
 }
 
+bool EndpointPool::IsLeaving(const std::string& aId) const {
+  const auto found = mEndpoints.find(aId);
+  return found != mEndpoints.end() &&
+         (found->second.mEntry.mDraining || found->second.mLeaving);
+}
+
 std::size_t EndpointPool::Usable(const std::vector<std::string>& aExcluded,
                                  TimePoint aNow) const {
   return static_cast<std::size_t>(std::count_if(
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -107,6 +107,10 @@
                 const std::optional<LoadSample>& aSample, Duration aWork,
                 TimePoint aSentAt, TimePoint aNow);
 
+  /** Whether an endpoint is about to end, by what is published of it or by its
+   * own word. */
+  [[nodiscard]] bool IsLeaving(const std::string& aId) const;
+
   /** Endpoints that may be chosen now, but for some. */
   [[nodiscard]] std::size_t Usable(const std::vector<std::string>& aExcluded,
                                    TimePoint aNow) const;
--- /dev/null
+++ b/core/endpoints/endpoint_sight.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <cstdint>
+
+namespace papayawheel {
+
+/** Who was met at the address of an endpoint. */
+enum class EndpointSight : std::uint8_t {
+  /** No word came in time, or the connection broke: it may live or not. */
+  Unclear,
+  /** The endpoint itself answered. */
+  Itself,
+  /** Another endpoint answered, so the one that was meant has ended. */
+  Another,
+  /** Connections are refused: no program listens there. */
+  Nobody,
+};
+
+}  // namespace papayawheel
--- /dev/null
+++ b/core/gateway/crash_ledger.cpp
@@ -0,0 +1,175 @@
+#include "core/gateway/crash_ledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::seconds;
+
+/** Crashes after which a request is stopped. */
+constexpr std::size_t kCrashesToStop = 2;
+
+/** How long a request is stopped at first, and how often that time doubles. */
+constexpr seconds kFirstStop{60};
+constexpr std::size_t kMostDoublings = 5;
+
+/** A crash is remembered for so long if the request was never stopped. */
+constexpr seconds kMemory{60};
+/** The same if it was; longer than its longest stop. */
+constexpr seconds kLongMemory{3600};
+/** Records are not told in the last part of their life: another host may have
+ * forgotten them already and would take them for new. */
+constexpr seconds kUntoldTime{10};
+
+/** Requests that are remembered, and records of each. */
+constexpr std::size_t kMostRequests = 4096;
+constexpr std::size_t kMostRecords = 32;
+
+}  // namespace
+
+bool CrashLedger::Add(const CrashRecord& aRecord, TimePoint aNow) {
+  if (aRecord.mEndedAgo >= kLongMemory - kUntoldTime) {
+    return false;
+  }
+  if (!mEntries.contains(aRecord.mFingerprint)) {
+    MakeRoom(aNow);
+  }
+  Entries& entries = mEntries[aRecord.mFingerprint];
+  Expire(entries, aNow);
+  const bool known = std::any_of(
+      entries.begin(), entries.end(),
+      [&](const Entry& aEntry) { return aEntry.mRecord.mId == aRecord.mId; });
+  if (known || entries.size() >= kMostRecords) {
+    return false;
+  }
+  Entry entry;
+  entry.mRecord = aRecord;
+  entry.mEndedAt = aNow - aRecord.mEndedAgo;
+  entry.mSentAt = aNow - std::max(aRecord.mSentAgo, aRecord.mEndedAgo);
+  const auto isEarlier = [](const Entry& aLeft, const Entry& aRight) {
+    return aLeft.mEndedAt < aRight.mEndedAt;
+  };
+  entries.insert(
+      std::upper_bound(entries.begin(), entries.end(), entry, isEarlier),
+      std::move(entry));
+  return true;
+}
+
+std::size_t CrashLedger::Crashes(std::uint64_t aFingerprint,
+                                 TimePoint aNow) const {
+  const auto found = mEntries.find(aFingerprint);
+  if (found == mEntries.end()) {
+    return 0;
+  }
+  Entries current = found->second;
+  Expire(current, aNow);
+  return CountApart(current, ClearedUntil(current));
+}
+
+Duration CrashLedger::StopLeft(std::uint64_t aFingerprint,
+                               TimePoint aNow) const {
+  const std::size_t crashes = Crashes(aFingerprint, aNow);
+  if (crashes < kCrashesToStop) {
+    return Duration::zero();
+  }
+  const Entries& entries = mEntries.at(aFingerprint);
+  const auto last = std::find_if(
+      entries.rbegin(), entries.rend(),
+      [](const Entry& aEntry) { return !aEntry.mRecord.IsAnswer(); });
+  const std::size_t doublings =
+      std::min(crashes - kCrashesToStop, kMostDoublings);
+  const TimePoint until = last->mEndedAt + kFirstStop * (1U << doublings);
+  return std::max(Duration::zero(),
+                  std::chrono::duration_cast<Duration>(until - aNow));
+}
+
+std::vector<CrashRecord> CrashLedger::Shared(TimePoint aNow) const {
+  std::vector<CrashRecord> shared;
+  for (const auto& [fingerprint, entries] : mEntries) {
+    if (CountApart(entries, TimePoint::min()) < kCrashesToStop) {
+      continue;
+    }
+    for (const Entry& entry : entries) {
+      if (IsCurrent(entry, aNow)) {
+        CrashRecord record = entry.mRecord;
+        record.mSentAgo =
+            std::chrono::duration_cast<Duration>(aNow - entry.mSentAt);
+        record.mEndedAgo =
+            std::chrono::duration_cast<Duration>(aNow - entry.mEndedAt);
+        shared.push_back(std::move(record));
+      }
+    }
+  }
+  return shared;
+}
+
+std::uint64_t CrashLedger::Digest(TimePoint aNow) const {
+  std::uint64_t digest = 0;
+  for (const CrashRecord& record : Shared(aNow)) {
+    digest ^= record.mId;
+  }
+  return digest;
+}
+
+std::size_t CrashLedger::CountApart(const Entries& aEntries, TimePoint aAfter) {
+  std::size_t count = 0;
+  TimePoint last = TimePoint::min();
+  for (const Entry& entry : aEntries) {
+    const bool counts = !entry.mRecord.IsAnswer() && entry.mEndedAt > aAfter;
+    if (counts && entry.mSentAt >= last) {
+      ++count;
+      last = entry.mEndedAt;
+    }
+  }
+  return count;
+}
+
+TimePoint CrashLedger::ClearedUntil(const Entries& aEntries) {
+  TimePoint cleared = TimePoint::min();
+  for (const Entry& entry : aEntries) {
+    if (entry.mRecord.IsAnswer()) {
+      cleared = std::max(cleared, entry.mSentAt);
+    }
+  }
+  return cleared;
+}
+
+bool CrashLedger::IsCurrent(const Entry& aEntry, TimePoint aNow) {
+  return aNow - aEntry.mEndedAt < kLongMemory - kUntoldTime;
+}
+
+void CrashLedger::Expire(Entries& aEntries, TimePoint aNow) {
+  const bool wasStopped =
+      CountApart(aEntries, TimePoint::min()) >= kCrashesToStop;
+  const seconds life = wasStopped ? kLongMemory : kMemory;
+  std::erase_if(aEntries, [&](const Entry& aEntry) {
+    return aNow - aEntry.mEndedAt >= life;
+  });
+}
+
+void CrashLedger::MakeRoom(TimePoint aNow) {
+  if (mEntries.size() < kMostRequests) {
+    return;
+  }
+  for (auto it = mEntries.begin(); it != mEntries.end();) {
+    Expire(it->second, aNow);
+    it = it->second.empty() ? mEntries.erase(it) : std::next(it);
+  }
+  if (mEntries.size() < kMostRequests) {
+    return;
+  }
+  // Those that were never stopped are the least of a loss, the oldest first.
+  const auto worth = [](const Entries& aEntries) {
+    return std::pair(CountApart(aEntries, TimePoint::min()),
+                     aEntries.back().mEndedAt);
+  };
+  mEntries.erase(std::min_element(mEntries.begin(), mEntries.end(),
+                                  [&](const auto& aLeft, const auto& aRight) {
+                                    return worth(aLeft.second) <
+                                           worth(aRight.second);
+                                  }));
+}
+
+}  // namespace papayawheel
--- a/core/gateway/crash_watch.cpp
+++ b/core/gateway/crash_watch.cpp
@@ -1,107 +1,269 @@
 #include "core/gateway/crash_watch.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
+#include "core/base/rendezvous.h"
+
 namespace papayawheel {
 namespace {
 
-/** An endpoint that crashed cannot be reached within this time. */
-constexpr std::chrono::milliseconds kConfirmTime{2500};
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** An endpoint that answers a question sent so soon after a loss did not end in
+ * between: no program is back so soon. */
+constexpr milliseconds kPromptly{250};
 
-/** How long a crash is remembered. */
-constexpr std::chrono::seconds kMemory{60};
+/** A suspicion that nothing proves is dropped after this: an endpoint that is
+ * dark is taken from what is published sooner. */
+constexpr seconds kPendingTime{20};
 
-/** Endpoints that a request may crash before it is stopped. */
-constexpr std::size_t kCrashesToStop = 2;
+/** An endpoint that has started anew is published as such within this time. */
+constexpr seconds kPublishTime{5};
+
+/** Pause before an endpoint that gave no word is asked again; it doubles. */
+constexpr milliseconds kFirstPause{25};
+
+/** Endpoints under suspicion that are remembered, and attempts at each. */
+constexpr std::size_t kMostSuspicions = 4096;
+constexpr std::size_t kMostRuns = 64;
 
 }  // namespace
 
-std::string_view CrashNoteName(CrashNote::Kind aKind) {
-  switch (aKind) {
-    case CrashNote::Kind::Suspected:
+std::string_view CrashStepName(CrashNote::Step aStep) {
+  switch (aStep) {
+    case CrashNote::Step::Suspected:
       return "suspected";
-    case CrashNote::Kind::Confirmed:
+    case CrashNote::Step::Confirmed:
       return "confirmed";
-    case CrashNote::Kind::Acquitted:
+    case CrashNote::Step::Acquitted:
       return "acquitted";
-    case CrashNote::Kind::Unproved:
+    case CrashNote::Step::Unproved:
       return "unproved";
-    case CrashNote::Kind::Told:
+    case CrashNote::Step::Told:
       return "told";
+    case CrashNote::Step::Cleared:
+      return "cleared";
   }
   return "unknown";
 }
 
-void CrashWatch::NoteLost(const EndpointCrash& aCrash, TimePoint aNow) {
-  std::vector<Lost>& lost = mLost[aCrash.mEndpoint];
-  for (const Lost& one : lost) {
-    if (aNow - one.mAt > kConfirmTime) {
-      AddNote(CrashNote::Kind::Unproved,
-              EndpointCrash{one.mFingerprint, aCrash.mEndpoint}, aNow);
+std::string_view CrashProofName(CrashNote::Proof aProof) {
+  switch (aProof) {
+    case CrashNote::Proof::None:
+      return "none";
+    case CrashNote::Proof::Refused:
+      return "refused";
+    case CrashNote::Proof::Replaced:
+      return "replaced";
+    case CrashNote::Proof::Restarted:
+      return "restarted";
+    case CrashNote::Proof::Removed:
+      return "removed";
+    case CrashNote::Proof::OtherHost:
+      return "other_host";
+  }
+  return "unknown";
+}
+
+void CrashWatch::NoteLost(const EndpointEntry& aEndpoint, const LostRun& aRun,
+                          TimePoint aNow) {
+  auto found = mSuspicions.find(aEndpoint.mId);
+  if (found != mSuspicions.end() &&
+      !IsSameStart(found->second.mEndpoint, aEndpoint)) {
+    Confirm(found, CrashNote::Proof::Restarted, true, aNow);
+    found = mSuspicions.end();
+  }
+  if (found == mSuspicions.end()) {
+    if (mSuspicions.size() >= kMostSuspicions) {
+      return;
     }
+    found = mSuspicions.emplace(aEndpoint.mId, Suspicion{}).first;
   }
-  std::erase_if(lost, [aNow](const Lost& aLost) {
-    return aNow - aLost.mAt > kConfirmTime;
-  });
-  lost.push_back(Lost{aCrash.mFingerprint, aNow});
-  AddNote(CrashNote::Kind::Suspected, aCrash, aNow);
+  Suspicion& suspicion = found->second;
+  if (suspicion.mRuns.size() >= kMostRuns) {
+    return;
+  }
+  suspicion.mEndpoint = aEndpoint;
+  suspicion.mRuns.push_back(Pending{aRun, false, aNow + kPendingTime});
+  suspicion.mNextQuestion = aNow;
+  suspicion.mPause = kFirstPause;
+  AddNote(CrashNote::Step::Suspected, CrashNote::Proof::None, aEndpoint.mId,
+          aRun, aNow);
 }
 
-void CrashWatch::NoteUnreachable(const std::string& aEndpoint, TimePoint aNow) {
-  const auto found = mLost.find(aEndpoint);
-  if (found == mLost.end()) {
+void CrashWatch::NoteSight(const std::string& aEndpoint, EndpointSight aSight,
+                           TimePoint aAskedAt, TimePoint aNow) {
+  const auto found = mSuspicions.find(aEndpoint);
+  if (found == mSuspicions.end()) {
     return;
   }
-  const std::vector<Lost> lost = std::move(found->second);
-  mLost.erase(found);
-  for (const Lost& one : lost) {
-    const EndpointCrash crash{one.mFingerprint, aEndpoint};
-    if (aNow - one.mAt > kConfirmTime) {
-      AddNote(CrashNote::Kind::Unproved, crash, aNow);
+  switch (aSight) {
+    case EndpointSight::Unclear:
+      break;
+    case EndpointSight::Nobody:
+      Confirm(found, CrashNote::Proof::Refused, false, aNow);
+      break;
+    case EndpointSight::Another:
+      Confirm(found, CrashNote::Proof::Replaced, false, aNow);
+      break;
+    case EndpointSight::Itself:
+      Acquit(found->second, aAskedAt, aNow);
+      if (found->second.mRuns.empty()) {
+        mSuspicions.erase(found);
+      }
+      break;
+  }
+}
+
+void CrashWatch::Acquit(Suspicion& aSuspicion, TimePoint aAskedAt,
+                        TimePoint aNow) {
+  std::erase_if(aSuspicion.mRuns, [&](Pending& aPending) {
+    const auto since = aAskedAt - aPending.mRun.mEndedAt;
+    if (since < Duration::zero()) {
+      return false;
+    }
+    if (since > kPromptly) {
+      aPending.mSeenAlive = true;
+      aPending.mExpires =
+          std::min<TimePoint>(aPending.mExpires, aNow + kPublishTime);
+      return false;
+    }
+    AddNote(CrashNote::Step::Acquitted, CrashNote::Proof::None,
+            aSuspicion.mEndpoint.mId, aPending.mRun, aNow);
+    return true;
+  });
+}
+
+void CrashWatch::NotePublished(const EndpointMap& aEndpoints, TimePoint aNow) {
+  for (auto it = mSuspicions.begin(); it != mSuspicions.end();) {
+    const EndpointEntry& suspect = it->second.mEndpoint;
+    const auto entry = aEndpoints.find(it->first);
+    if (entry == aEndpoints.end()) {
+      it = Confirm(it, CrashNote::Proof::Removed, false, aNow);
+    } else if (!IsSameStart(entry->second, suspect)) {
+      it = Confirm(it, CrashNote::Proof::Restarted, true, aNow);
+    } else {
+      ++it;
+    }
+  }
+}
+
+CrashWatch::Suspicions::iterator CrashWatch::Confirm(
+    Suspicions::iterator aSuspicion, CrashNote::Proof aProof,
+    bool aAlsoSeenAlive, TimePoint aNow) {
+  const std::string endpoint = aSuspicion->first;
+  const std::vector<Pending> runs = std::move(aSuspicion->second.mRuns);
+  const auto next = mSuspicions.erase(aSuspicion);
+  for (const Pending& pending : runs) {
+    if (pending.mSeenAlive && !aAlsoSeenAlive) {
+      AddNote(CrashNote::Step::Acquitted, aProof, endpoint, pending.mRun, aNow);
       continue;
     }
-    Record(crash, aNow);
-    AddNote(CrashNote::Kind::Confirmed, crash, aNow);
-    mNews.push_back(crash);
+    CrashRecord record;
+    record.mFingerprint = pending.mRun.mFingerprint;
+    record.mEndpoint = endpoint;
+    record.mSentAgo =
+        std::chrono::duration_cast<Duration>(aNow - pending.mRun.mSentAt);
+    record.mEndedAgo =
+        std::chrono::duration_cast<Duration>(aNow - pending.mRun.mEndedAt);
+    Record(std::move(record), aNow);
+    AddNote(CrashNote::Step::Confirmed, aProof, endpoint, pending.mRun, aNow);
   }
+  return next;
 }
 
-void CrashWatch::NoteAlive(const std::string& aEndpoint, TimePoint aNow) {
-  const auto found = mLost.find(aEndpoint);
-  if (found == mLost.end()) {
+void CrashWatch::NoteAnswered(std::uint64_t aFingerprint, TimePoint aSentAt,
+                              TimePoint aNow) {
+  const std::size_t before = mLedger.Crashes(aFingerprint, aNow);
+  if (before == 0) {
     return;
   }
-  for (const Lost& one : found->second) {
-    AddNote(CrashNote::Kind::Acquitted,
-            EndpointCrash{one.mFingerprint, aEndpoint}, aNow);
+  CrashRecord record;
+  record.mFingerprint = aFingerprint;
+  record.mSentAgo = std::chrono::duration_cast<Duration>(aNow - aSentAt);
+  Record(std::move(record), aNow);
+  AddNote(CrashNote::Step::Cleared, CrashNote::Proof::None, "",
+          LostRun{aFingerprint, "", aSentAt, aNow}, aNow);
+}
+
+void CrashWatch::Record(CrashRecord aRecord, TimePoint aNow) {
+  aRecord.mId = StableHash(fmt::format("{}/{}", mOrigin, ++mLastRecord));
+  if (mLedger.Add(aRecord, aNow)) {
+    mNews.push_back(std::move(aRecord));
   }
-  mLost.erase(found);
 }
 
-void CrashWatch::NoteCrash(const EndpointCrash& aCrash, TimePoint aNow) {
-  Record(aCrash, aNow);
-  AddNote(CrashNote::Kind::Told, aCrash, aNow);
+void CrashWatch::NoteTold(const CrashRecord& aRecord, TimePoint aNow) {
+  if (!mLedger.Add(aRecord, aNow)) {
+    return;
+  }
+  AddNote(aRecord.IsAnswer() ? CrashNote::Step::Cleared : CrashNote::Step::Told,
+          CrashNote::Proof::OtherHost, aRecord.mEndpoint,
+          LostRun{aRecord.mFingerprint, "", aNow - aRecord.mSentAgo, aNow},
+          aNow);
+  const auto suspicion = mSuspicions.find(aRecord.mEndpoint);
+  if (suspicion != mSuspicions.end()) {
+    Confirm(suspicion, CrashNote::Proof::OtherHost, false, aNow);
+  }
 }
 
-void CrashWatch::Record(const EndpointCrash& aCrash, TimePoint aNow) {
-  std::erase_if(mSuspects, [aNow](const auto& aEntry) {
-    return aEntry.second.mExpires <= aNow;
-  });
-  Suspect& suspect = mSuspects[aCrash.mFingerprint];
-  suspect.mEndpoints.insert(aCrash.mEndpoint);
-  suspect.mExpires = aNow + kMemory;
+std::vector<CrashWatch::Question> CrashWatch::TakeQuestions(TimePoint aNow) {
+  std::vector<Question> questions;
+  for (auto it = mSuspicions.begin(); it != mSuspicions.end();) {
+    Suspicion& suspicion = it->second;
+    if (suspicion.mNextQuestion > aNow) {
+      ++it;
+      continue;
+    }
+    std::erase_if(suspicion.mRuns, [&](const Pending& aPending) {
+      if (aPending.mExpires > aNow) {
+        return false;
+      }
+      AddNote(aPending.mSeenAlive ? CrashNote::Step::Acquitted
+                                  : CrashNote::Step::Unproved,
+              CrashNote::Proof::None, it->first, aPending.mRun, aNow);
+      return true;
+    });
+    if (suspicion.mRuns.empty()) {
+      it = mSuspicions.erase(it);
+      continue;
+    }
+    suspicion.mNextQuestion = aNow + suspicion.mPause;
+    suspicion.mPause *= 2;
+    questions.push_back(Question{suspicion.mEndpoint.mService, it->first,
+                                 suspicion.mEndpoint.mAddress});
+    ++it;
+  }
+  return questions;
+}
+
+std::optional<TimePoint> CrashWatch::NextQuestion() const {
+  std::optional<TimePoint> next;
+  for (const auto& [endpoint, suspicion] : mSuspicions) {
+    next = next ? std::min(*next, suspicion.mNextQuestion)
+                : suspicion.mNextQuestion;
+  }
+  return next;
+}
+
+Duration CrashWatch::StopLeft(std::uint64_t aFingerprint,
+                              TimePoint aNow) const {
+  return mLedger.StopLeft(aFingerprint, aNow);
 }
 
 bool CrashWatch::IsStopped(std::uint64_t aFingerprint, TimePoint aNow) const {
-  return Crashes(aFingerprint, aNow) >= kCrashesToStop;
+  return mLedger.StopLeft(aFingerprint, aNow) > Duration::zero();
 }
 
 bool CrashWatch::IsSuspect(std::uint64_t aFingerprint, TimePoint aNow) const {
-  return Crashes(aFingerprint, aNow) > 0;
+  return mLedger.Crashes(aFingerprint, aNow) > 0;
 }
 
-std::vector<EndpointCrash> CrashWatch::TakeNews() {
+std::vector<CrashRecord> CrashWatch::TakeNews() {
   return std::exchange(mNews, {});
 }
 
@@ -109,19 +271,12 @@
   return std::exchange(mNotes, {});
 }
 
-void CrashWatch::AddNote(CrashNote::Kind aKind, const EndpointCrash& aCrash,
+void CrashWatch::AddNote(CrashNote::Step aStep, CrashNote::Proof aProof,
+                         const std::string& aEndpoint, const LostRun& aRun,
                          TimePoint aNow) {
-  mNotes.push_back(
-      CrashNote{aKind, aCrash, Crashes(aCrash.mFingerprint, aNow)});
-}
-
-std::size_t CrashWatch::Crashes(std::uint64_t aFingerprint,
-                                TimePoint aNow) const {
-  const auto found = mSuspects.find(aFingerprint);
-  if (found == mSuspects.end() || found->second.mExpires <= aNow) {
-    return 0;
-  }
-  return found->second.mEndpoints.size();
+  mNotes.push_back(CrashNote{aStep, aProof, aRun.mFingerprint, aEndpoint,
+                             aRun.mRequestId,
+                             mLedger.Crashes(aRun.mFingerprint, aNow)});
 }
 
 }  // namespace papayawheel
--- a/core/gateway/crash_watch.h
+++ b/core/gateway/crash_watch.h
@@ -2,27 +2,33 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/base/clock.h"
+#include "core/endpoints/endpoint_entry.h"
+#include "core/endpoints/endpoint_sight.h"
+#include "core/gateway/crash_ledger.h"
+#include "core/gateway/crash_record.h"
 
 namespace papayawheel {
 
-/** A request was lost with the endpoint that ran it. */
-struct EndpointCrash {
-  /** Identifies requests that are alike: method, host, target and body. */
+/** An attempt that brought no answer. */
+struct LostRun {
   std::uint64_t mFingerprint = 0;
-  std::string mEndpoint;
+  /** For logs. */
+  std::string mRequestId;
+  TimePoint mSentAt;
+  TimePoint mEndedAt;
 };
 
 /** A step towards or away from the proof that a request crashed an endpoint;
  * for logs. */
 struct CrashNote {
-  enum class Kind {
-    /** The connection broke while the endpoint had the request. */
+  enum class Step : std::uint8_t {
+    /** An attempt brought no answer. */
     Suspected,
     /** The endpoint turned out to have ended. */
     Confirmed,
@@ -32,35 +38,83 @@
     Unproved,
     /** Another host confirmed it. */
     Told,
+    /** A request like this one was answered. */
+    Cleared,
+  };
+  enum class Proof : std::uint8_t {
+    None,
+    /** Connections are refused. */
+    Refused,
+    /** Another endpoint answers at the address. */
+    Replaced,
+    /** The endpoint is published as started anew. */
+    Restarted,
+    /** The endpoint is no longer published. */
+    Removed,
+    /** Another host saw the endpoint end. */
+    OtherHost,
   };
 
-  Kind mKind = Kind::Suspected;
-  EndpointCrash mCrash;
-  /** Crashes by requests like this one that are known after this step. */
+  Step mStep = Step::Suspected;
+  Proof mProof = Proof::None;
+  std::uint64_t mFingerprint = 0;
+  std::string mEndpoint;
+  /** Empty if another host told of it. */
+  std::string mRequestId;
+  /** Crashes of requests like this one that count after this step. */
   std::size_t mCrashes = 0;
 };
 
-/** The word of a step in logs. */
-std::string_view CrashNoteName(CrashNote::Kind aKind);
+/** The words of a step and of a proof in logs. */
+std::string_view CrashStepName(CrashNote::Step aStep);
+std::string_view CrashProofName(CrashNote::Proof aProof);
 
-/** Recognises requests that crash the endpoints that run them. A request whose
- * connection broke is only suspected: an endpoint may lose an answer and live
- * on. It counts once the endpoint cannot be reached soon afterwards. */
+/** Recognises requests that crash the endpoints that run them.
+ *
+ * A request that brought no answer is only suspected: an endpoint may lose an
+ * answer and live on. So the endpoint is asked at once whether it lives, and
+ * what else is learnt of it counts too: by whom its address is held, how it is
+ * published, what other hosts saw. */
 class CrashWatch {
  public:
-  /** A request was sent and its connection broke before an answer. */
-  void NoteLost(const EndpointCrash& aCrash, TimePoint aNow);
+  /** An endpoint that must be asked whether it lives. */
+  struct Question {
+    std::string mService;
+    std::string mEndpoint;
+    std::string mAddress;
+  };
+
+  /** @param aOrigin differs from one host and start to the next. */
+  explicit CrashWatch(std::uint64_t aOrigin) : mOrigin(aOrigin) {}
 
-  /** An endpoint refused a connection. */
-  void NoteUnreachable(const std::string& aEndpoint, TimePoint aNow);
+  /** An attempt at an endpoint brought no answer.
+   * @param aEndpoint as it was published when the request was sent. */
+  void NoteLost(const EndpointEntry& aEndpoint, const LostRun& aRun,
+                TimePoint aNow);
 
-  /** An endpoint answered. */
-  void NoteAlive(const std::string& aEndpoint, TimePoint aNow);
+  /** Who was met at the address of an endpoint.
+   * @param aAskedAt when the question or request was sent. */
+  void NoteSight(const std::string& aEndpoint, EndpointSight aSight,
+                 TimePoint aAskedAt, TimePoint aNow);
 
-  /** Another host tells of a crash. */
-  void NoteCrash(const EndpointCrash& aCrash, TimePoint aNow);
+  /** What is published of the endpoints now. */
+  void NotePublished(const EndpointMap& aEndpoints, TimePoint aNow);
 
-  /** Whether requests like this one must not be sent any more. */
+  /** A request was answered and had been sent at a time. */
+  void NoteAnswered(std::uint64_t aFingerprint, TimePoint aSentAt,
+                    TimePoint aNow);
+
+  /** Another host told of what it saw. */
+  void NoteTold(const CrashRecord& aRecord, TimePoint aNow);
+
+  /** The endpoints to ask now. */
+  std::vector<Question> TakeQuestions(TimePoint aNow);
+  /** When TakeQuestions() has something to do; nothing if never. */
+  [[nodiscard]] std::optional<TimePoint> NextQuestion() const;
+
+  /** How long requests like this one must not be sent; zero if they may be. */
+  [[nodiscard]] Duration StopLeft(std::uint64_t aFingerprint,
+                                  TimePoint aNow) const;
   [[nodiscard]] bool IsStopped(std::uint64_t aFingerprint,
                                TimePoint aNow) const;
 
@@ -68,32 +122,46 @@
   [[nodiscard]] bool IsSuspect(std::uint64_t aFingerprint,
                                TimePoint aNow) const;
 
-  /** Crashes seen here since the last call. */
-  std::vector<EndpointCrash> TakeNews();
+  /** What was seen here since the last call, for the other hosts. */
+  std::vector<CrashRecord> TakeNews();
 
   /** Steps since the last call. */
   std::vector<CrashNote> TakeNotes();
 
  private:
-  struct Lost {
-    std::uint64_t mFingerprint = 0;
-    TimePoint mAt;
-  };
-  struct Suspect {
-    std::set<std::string> mEndpoints;
+  struct Pending {
+    LostRun mRun;
+    /** The endpoint answered later; it may have started anew in between. */
+    bool mSeenAlive = false;
     TimePoint mExpires;
   };
-
-  void Record(const EndpointCrash& aCrash, TimePoint aNow);
-  void AddNote(CrashNote::Kind aKind, const EndpointCrash& aCrash,
+  struct Suspicion {
+    EndpointEntry mEndpoint;
+    std::vector<Pending> mRuns;
+    TimePoint mNextQuestion;
+    Duration mPause{0};
+  };
+  using Suspicions = std::map<std::string, Suspicion>;
+
+  /** The endpoint of a suspicion has ended. Runs that it may have outlived are
+   * dropped.
+   * @param aAlsoSeenAlive whether it may have ended before it was seen alive.
+   */
+  Suspicions::iterator Confirm(Suspicions::iterator aSuspicion,
+                               CrashNote::Proof aProof, bool aAlsoSeenAlive,
+                               TimePoint aNow);
+  void Acquit(Suspicion& aSuspicion, TimePoint aAskedAt, TimePoint aNow);
+  void Record(CrashRecord aRecord, TimePoint aNow);
+  void AddNote(CrashNote::Step aStep, CrashNote::Proof aProof,
+               const std::string& aEndpoint, const LostRun& aRun,
                TimePoint aNow);
-  [[nodiscard]] std::size_t Crashes(std::uint64_t aFingerprint,
-                                    TimePoint aNow) const;
 
-  /** Requests lost on each endpoint that may yet prove to have crashed. */
-  std::map<std::string, std::vector<Lost>> mLost;
-  std::map<std::uint64_t, Suspect> mSuspects;
-  std::vector<EndpointCrash> mNews;
+  std::uint64_t mOrigin;
+  std::uint64_t mLastRecord = 0;
+  /** By endpoint, those that may yet prove to have crashed. */
+  Suspicions mSuspicions;
+  CrashLedger mLedger;
+  std::vector<CrashRecord> mNews;
   std::vector<CrashNote> mNotes;
 };
 
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -10,6 +10,7 @@
 #include "core/base/clock.h"
 #include "core/base/error_kind.h"
 #include "core/endpoints/endpoint_pool.h"
+#include "core/endpoints/endpoint_sight.h"
 #include "core/entry/call.h"
 #include "core/outcome/response.h"
 
@@ -27,6 +28,8 @@
   /** Path and query. */
   std::string mTarget;
   std::uint64_t mBodyHash = 0;
+  /** Hash of what the caller proves its identity with; 0 if it does not. */
+  std::uint64_t mCallerHash = 0;
   /** How long the caller will wait; nothing if it did not say. */
   std::optional<Duration> mPatience;
 };
@@ -34,6 +37,7 @@
 /** How an attempt ended and what came of it. */
 struct AttemptReply {
   AttemptResult mResult = AttemptResult::Lost;
+  EndpointSight mSight = EndpointSight::Unclear;
   std::optional<LoadSample> mSample;
   EndpointNotice mNotice;
   /** Set when the endpoint answered. */
@@ -80,6 +84,7 @@
 
 /** What an endpoint answered to a question for its load. */
 struct ProbeReply {
+  EndpointSight mSight = EndpointSight::Unclear;
   /** Nothing if it did not tell. */
   std::optional<LoadSample> mSample;
   EndpointNotice mNotice;
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -41,6 +41,10 @@
 /** A second endpoint is asked after this many times the expected time. */
 constexpr double kHedgeAfter = 1.6;
 
+/** An endpoint that was silent for this many times the expected time when its
+ * call ended may have ended itself. */
+constexpr double kLongSilence = 2;
+
 /** Part of the retry budget that is kept for requests that have failed. */
 constexpr double kHedgeReserve = 0.4;
 
@@ -177,14 +181,9 @@
   if (!healthPath.empty()) {
     candidates.resize(service.mProbeBudget.Take(candidates.size(), aNow));
     for (const EndpointPool::Candidate& candidate : candidates) {
-      const ProbeId probe = ++mLastProbe;
-      mProbes[probe] = Probe{aService, candidate.mId};
-      service.mAsking.push_back(probe);
-      mTimers.emplace(aNow + kProbeTime,
-                      Timer{TimerKind::ProbeEnd, 0, {}, probe});
-      ++mCounts.mProbes;
-      aActions.emplace_back(StartProbe{probe, candidate.mId, candidate.mAddress,
-                                       std::string(healthPath)});
+      SendProbe(aService, candidate.mId, candidate.mAddress, healthPath, aNow,
+                aActions);
+      service.mAsking.push_back(mLastProbe);
     }
   }
   service.mRoundEnds = aNow + kRoundTime;
@@ -200,6 +199,56 @@
   }
 }
 
+void GatewayEngine::SendProbe(const std::string& aService,
+                              const std::string& aEndpoint,
+                              const std::string& aAddress,
+                              std::string_view aHealthPath, TimePoint aNow,
+                              GatewayActions& aActions) {
+  const ProbeId probe = ++mLastProbe;
+  mProbes[probe] = Probe{aService, aEndpoint, aNow};
+  mTimers.emplace(aNow + kProbeTime, Timer{TimerKind::ProbeEnd, 0, {}, probe});
+  ++mCounts.mProbes;
+  aActions.emplace_back(
+      StartProbe{probe, aEndpoint, aAddress, std::string(aHealthPath)});
+}
+
+void GatewayEngine::Suspect(Call& aCall, const Attempt& aAttempt,
+                            TimePoint aNow) {
+  const EndpointPool& pool = ServiceOf(aCall.mService).mPool;
+  if (aAttempt.mEndpointLeaves || pool.IsLeaving(aAttempt.mEndpoint)) {
+    // It ends by itself.
+    return;
+  }
+  mCrashes.NoteLost(aAttempt.mEntry,
+                    LostRun{aCall.mFingerprint, aCall.mRequest.mRequestId,
+                            aAttempt.mSentAt, aNow},
+                    aNow);
+  // It may be known by now to have ended.
+  mCrashes.NotePublished(*mView->mEndpoints, aNow);
+}
+
+void GatewayEngine::SuspectSilent(Call& aCall, TimePoint aNow) {
+  for (const AttemptId running : aCall.mRunning) {
+    const Attempt& attempt = mAttempts.at(running);
+    if (aNow - attempt.mSentAt > Scaled(attempt.mExpected, kLongSilence)) {
+      Suspect(aCall, attempt, aNow);
+    }
+  }
+}
+
+void GatewayEngine::AskSuspects(TimePoint aNow, GatewayActions& aActions) {
+  for (const CrashWatch::Question& question : mCrashes.TakeQuestions(aNow)) {
+    const std::string_view healthPath = HealthPath(question.mService);
+    if (!healthPath.empty()) {
+      ServiceOf(question.mService).mProbeBudget.Charge(aNow);
+      SendProbe(question.mService, question.mEndpoint, question.mAddress,
+                healthPath, aNow, aActions);
+      mProbes.at(mLastProbe).mIsCheck = true;
+    }
+    mTimers.emplace(*mCrashes.NextQuestion(), Timer{TimerKind::Check});
+  }
+}
+
 GatewayActions GatewayEngine::ProbeEnded(ProbeId aId, const ProbeReply& aReply,
                                          TimePoint aNow) {
   GatewayActions actions;
@@ -213,6 +262,11 @@
   ServiceState& service = ServiceOf(probe.mService);
   std::erase(service.mAsking, aId);
   service.mPool.NoteNotice(probe.mEndpoint, aReply.mNotice, aNow);
+  mCrashes.NoteSight(probe.mEndpoint, aReply.mSight, probe.mSentAt, aNow);
+  if (probe.mIsCheck && aReply.mSample) {
+    // That one of its requests was slow says more than this load.
+    return actions;
+  }
   if (aReply.mSample) {
     service.mPool.NoteSample(probe.mEndpoint, *aReply.mSample, aNow);
   } else {
@@ -268,7 +322,13 @@
                            const EndpointPool::Choice& aChoice, TimePoint aNow,
                            GatewayActions& aActions) {
   const AttemptId attempt = ++mLastAttempt;
-  mAttempts[attempt] = Attempt{aId, aChoice.mId, aNow, aChoice.mSlowdown};
+  Attempt& started = mAttempts[attempt];
+  started.mCall = aId;
+  started.mEndpoint = aChoice.mId;
+  started.mSentAt = aNow;
+  started.mExpected = aChoice.mExpected;
+  started.mSlowdown = aChoice.mSlowdown;
+  started.mEntry = mView->mEndpoints->at(aChoice.mId);
   aCall.mRunning.push_back(attempt);
   aCall.mTried.push_back(aChoice.mId);
   aCall.mAvoided.push_back(aChoice.mId);
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -27,10 +27,10 @@
  * spread by as much again. */
 constexpr double kRetryAfterPart = 0.12;
 
-std::uint64_t FingerprintOf(const GatewayRequest& aRequest) {
-  return StableHash(fmt::format("{}\n{}\n{}\n{}", aRequest.mMethod,
+std::uint64_t Fingerprint(const GatewayRequest& aRequest) {
+  return StableHash(fmt::format("{}\n{}\n{}\n{}\n{}", aRequest.mMethod,
                                 aRequest.mHost, aRequest.mTarget,
-                                aRequest.mBodyHash));
+                                aRequest.mCallerHash, aRequest.mBodyHash));
 }
 
 bool IsServerError(int aStatus) { return aStatus >= 500; }
@@ -40,7 +40,8 @@
 GatewayEngine::GatewayEngine(std::string aDataCentre, std::uint32_t aSeed)
     : mDataCentre(std::move(aDataCentre)),
       mRandom(aSeed),
-      mView(std::make_shared<RoutingView>()) {}
+      mView(std::make_shared<RoutingView>()),
+      mCrashes(StableHash(fmt::format("{}/{}", mDataCentre, aSeed))) {}
 
 void GatewayEngine::Apply(std::shared_ptr<const RoutingView> aView,
                           TimePoint aNow) {
@@ -60,6 +61,13 @@
     service.mProbeBudget.Configure(mProbeTerms, mProbeSharers,
                                    service.mPool.Size(), aNow);
   }
+  for (auto& [id, attempt] : mAttempts) {
+    const auto entry = mView->mEndpoints->find(attempt.mEndpoint);
+    attempt.mEndpointLeaves =
+        attempt.mEndpointLeaves ||
+        (entry != mView->mEndpoints->end() && entry->second.mDraining);
+  }
+  mCrashes.NotePublished(*mView->mEndpoints, aNow);
 }
 
 void GatewayEngine::SetProbeBudget(const ProbeBudgetTerms& aTerms,
@@ -138,7 +146,7 @@
     return actions;
   }
   call.mRoute = *route;
-  call.mFingerprint = FingerprintOf(aRequest);
+  call.mFingerprint = Fingerprint(aRequest);
   call.mDeadline = aNow + std::min(aRequest.mPatience.value_or(route->mTimeout),
                                    route->mTimeout);
   call.mService = mSplit.Next(*route);
@@ -216,10 +224,11 @@
                                     aReply.mSample, work, attempt.mSentAt,
                                     aNow);
   ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
+  mCrashes.NoteSight(attempt.mEndpoint, aReply.mSight, attempt.mSentAt, aNow);
   switch (aReply.mResult) {
     case AttemptResult::Answered:
-      mCrashes.NoteAlive(attempt.mEndpoint, aNow);
       if (!failed) {
+        mCrashes.NoteAnswered(call.mFingerprint, attempt.mSentAt, aNow);
         mTypical.try_emplace(call.mRoute.mName, work)
             .first->second.Note(Scaled(
                 std::chrono::duration_cast<Duration>(aNow - attempt.mSentAt),
@@ -236,27 +245,28 @@
       RetryOrFail(attempt.mCall, call, ErrorKind::Overloaded, aNow, actions);
       break;
     case AttemptResult::NotConnected:
-      mCrashes.NoteUnreachable(attempt.mEndpoint, aNow);
       ++call.mUnreached;
       RetryOrFail(attempt.mCall, call, ErrorKind::NeverSent, aNow, actions);
       break;
     case AttemptResult::Lost:
-      mCrashes.NoteLost(EndpointCrash{call.mFingerprint, attempt.mEndpoint},
-                        aNow);
+      Suspect(call, attempt, aNow);
       call.mMayHaveRun = true;
       RetryOrFail(attempt.mCall, call, ErrorKind::EndpointLost, aNow, actions);
       break;
     case AttemptResult::Garbled:
+      Suspect(call, attempt, aNow);
       call.mMayHaveRun = true;
       RetryOrFail(attempt.mCall, call, ErrorKind::AnswerCut, aNow, actions);
       break;
     case AttemptResult::TimedOut:
     case AttemptResult::Cancelled:
+      Suspect(call, attempt, aNow);
       call.mMayHaveRun = true;
       RetryOrFail(attempt.mCall, call, ErrorKind::TimedOut, aNow, actions);
       break;
   }
   Pump(service, aNow, actions);
+  AskSuspects(aNow, actions);
   return actions;
 }
 
@@ -281,7 +291,7 @@
   return harmless && !aCall.mCallerLeft &&
          aCall.Reached() < aCall.mRoute.mMaxAttempts &&
          aCall.mUnreached <= kMostUnreached && aNow < aCall.mDeadline &&
-         !mCrashes.IsSuspect(aCall.mFingerprint, aNow);
+         !(aCall.mMayHaveRun && mCrashes.IsSuspect(aCall.mFingerprint, aNow));
 }
 
 void GatewayEngine::RetryOrFail(CallId aId, Call& aCall, ErrorKind aError,
@@ -309,7 +319,9 @@
   const bool runsOn =
       call.mRoute.mKind == RouteKind::AtMostOnce && !call.mRunning.empty();
   if (!runsOn) {
+    SuspectSilent(call, aNow);
     Finish(aId, actions);
+    AskSuspects(aNow, actions);
   }
   return actions;
 }
@@ -324,6 +336,10 @@
       Pump(timer.mService, aNow, actions);
       continue;
     }
+    if (timer.mKind == TimerKind::Check) {
+      AskSuspects(aNow, actions);
+      continue;
+    }
     if (timer.mKind == TimerKind::ProbeEnd) {
       if (mProbes.contains(timer.mProbe)) {
         actions.emplace_back(CancelProbe{timer.mProbe});
@@ -348,6 +364,7 @@
         break;
       case TimerKind::Round:
       case TimerKind::ProbeEnd:
+      case TimerKind::Check:
         break;
       case TimerKind::Release:
         if (call.mHeld) {
@@ -355,10 +372,12 @@
         }
         break;
       case TimerKind::Deadline:
+        SuspectSilent(call, aNow);
         call.mMayHaveRun = call.mMayHaveRun || !call.mRunning.empty();
         Fail(timer.mCall,
              call.mMayHaveRun ? ErrorKind::TimedOut : ErrorKind::Overloaded,
              actions);
+        AskSuspects(aNow, actions);
         break;
     }
   }
@@ -372,9 +391,9 @@
   return mTimers.begin()->first;
 }
 
-void GatewayEngine::NoteRemoteCrash(const EndpointCrash& aCrash,
+void GatewayEngine::NoteRemoteCrash(const CrashRecord& aRecord,
                                     TimePoint aNow) {
-  mCrashes.NoteCrash(aCrash, aNow);
+  mCrashes.NoteTold(aRecord, aNow);
 }
 
 void GatewayEngine::Succeed(CallId aId,
@@ -423,6 +442,10 @@
 }
 
 Duration GatewayEngine::RetryAfter(const Call& aCall) {
+  const Duration stopped = mCrashes.StopLeft(aCall.mFingerprint, mNow);
+  if (stopped > Duration::zero()) {
+    return stopped;
+  }
   const Duration target = aCall.mRoute.mTargetLatency;
   if (target == Duration::zero()) {
     return kHoldTime;
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -77,16 +77,21 @@
   /** When Tick() must be called next; nothing if there is no need. */
   [[nodiscard]] std::optional<TimePoint> NextDue() const;
 
-  /** Another host saw a request crash an endpoint. */
-  void NoteRemoteCrash(const EndpointCrash& aCrash, TimePoint aNow);
+  /** Another host told of a request that may crash endpoints. */
+  void NoteRemoteCrash(const CrashRecord& aRecord, TimePoint aNow);
 
-  /** Crashes seen here since the last call, to be told to the other hosts. */
-  std::vector<EndpointCrash> TakeCrashes() { return mCrashes.TakeNews(); }
+  /** What was seen here of such requests since the last call, to be told to the
+   * other hosts. */
+  std::vector<CrashRecord> TakeCrashes() { return mCrashes.TakeNews(); }
 
   /** What was learnt of crashes since the last call. */
   std::vector<CrashNote> TakeCrashNotes() { return mCrashes.TakeNotes(); }
 
   [[nodiscard]] const GatewayCounts& Counts() const { return mCounts; }
+  /** What requests like that of a call in flight have in common. */
+  [[nodiscard]] std::uint64_t FingerprintOf(CallId aCall) const {
+    return mCalls.at(aCall).mFingerprint;
+  }
   [[nodiscard]] std::size_t InFlight() const { return mCalls.size(); }
 
  private:
@@ -94,13 +99,22 @@
     CallId mCall = 0;
     std::string mEndpoint;
     TimePoint mSentAt;
-    /** How many times longer than usual the endpoint was expected to take. */
+    /** How long it was expected to take, and how many times longer than usual
+     * that is. */
+    Duration mExpected{0};
     double mSlowdown = 1;
+    /** What was published of the endpoint when the attempt began. */
+    EndpointEntry mEntry{};
+    /** The endpoint was published as leaving since then. */
+    bool mEndpointLeaves = false;
   };
 
   struct Probe {
     std::string mService;
     std::string mEndpoint;
+    TimePoint mSentAt;
+    /** It asks whether the endpoint lives, not how loaded it is. */
+    bool mIsCheck = false;
   };
 
   /** Why a call waits for an endpoint. */
@@ -159,7 +173,16 @@
     TimePoint mLastSend;
   };
 
-  enum class TimerKind { Deadline, Hedge, Release, QueueEnd, Round, ProbeEnd };
+  enum class TimerKind {
+    Deadline,
+    Hedge,
+    Release,
+    QueueEnd,
+    Round,
+    ProbeEnd,
+    /** Endpoints under suspicion are asked whether they live. */
+    Check,
+  };
   struct Timer {
     TimerKind mKind = TimerKind::Deadline;
     CallId mCall = 0;
@@ -205,6 +228,17 @@
   void SendTo(CallId aId, Call& aCall, const EndpointPool::Choice& aChoice,
               TimePoint aNow, GatewayActions& aActions);
   void Hedge(CallId aId, TimePoint aNow, GatewayActions& aActions);
+  /** Asks an endpoint for its load. */
+  void SendProbe(const std::string& aService, const std::string& aEndpoint,
+                 const std::string& aAddress, std::string_view aHealthPath,
+                 TimePoint aNow, GatewayActions& aActions);
+  /** An attempt brought no answer: its endpoint may have ended by it. */
+  void Suspect(Call& aCall, const Attempt& aAttempt, TimePoint aNow);
+  /** The call ends unanswered: endpoints that were silent for much longer than
+   * expected may have ended by it. */
+  void SuspectSilent(Call& aCall, TimePoint aNow);
+  /** Asks endpoints under suspicion whether they live. */
+  void AskSuspects(TimePoint aNow, GatewayActions& aActions);
   void EndpointAnswered(CallId aId, Call& aCall, const AttemptReply& aReply,
                         TimePoint aNow, GatewayActions& aActions);
   void RetryOrFail(CallId aId, Call& aCall, ErrorKind aError, TimePoint aNow,
--- a/core/gateway/probe_budget.cpp
+++ b/core/gateway/probe_budget.cpp
@@ -51,6 +51,12 @@
   return taken;
 }
 
+void ProbeBudget::Charge(TimePoint aNow) {
+  Refill(aNow);
+  mLeft -= 1;
+  mEarned -= 1;
+}
+
 bool ProbeBudget::IsSpent(TimePoint aNow) {
   Refill(aNow);
   return std::min(mLeft, mEarned) < 1;
--- a/core/gateway/probe_budget.h
+++ b/core/gateway/probe_budget.h
@@ -30,6 +30,10 @@
    * @return how many may be asked, up to the number that is wanted. */
   std::size_t Take(std::size_t aWanted, TimePoint aNow);
 
+  /** Takes one question that must be asked; what it costs beyond the budget is
+   * missing later. */
+  void Charge(TimePoint aNow);
+
   /** Whether no question may be asked now. */
   [[nodiscard]] bool IsSpent(TimePoint aNow);
 
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -44,7 +44,7 @@
 
   /** Tells the fleet at once what this host says and knows: everyone while the
    * fleet is small, else its data centre and a few hosts of each other. */
-  Datagrams Announce(std::vector<EndpointCrash> aCrashes);
+  Datagrams Announce(std::vector<CrashRecord> aCrashes);
   /** Tells of what changed in this host's copy of the store: everyone while
    * the fleet is small, else a few, who fetch it and tell others in turn.
    * @param aAfar whether other data centres may not know of it yet. */
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "core/base/clock.h"
-#include "core/gateway/crash_watch.h"
+#include "core/gateway/crash_record.h"
 #include "core/gossip/host_load.h"
 
 namespace papayawheel {
@@ -73,7 +73,7 @@
   std::vector<MemberRecord> mRecords;
   /** Names of hosts that did not answer the sender. */
   std::vector<std::string> mDoubts;
-  std::vector<EndpointCrash> mCrashes;
+  std::vector<CrashRecord> mCrashes;
 };
 
 /** A message and where it goes. */
--- a/core/gossip/gossip_telling.cpp
+++ b/core/gossip/gossip_telling.cpp
@@ -88,7 +88,7 @@
   }
 }
 
-Datagrams GossipEngine::Announce(std::vector<EndpointCrash> aCrashes) {
+Datagrams GossipEngine::Announce(std::vector<CrashRecord> aCrashes) {
   Datagrams datagrams;
   GossipMessage message = Compose(GossipMessage::Kind::Notice);
   message.mCrashes = std::move(aCrashes);
--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -232,7 +232,9 @@
     }
     aConnection->mTimer.cancel();
     if (aError) {
-      End(aId, EndpointOutcome::NotConnected, nullptr, aError.message());
+      EndWith(aId, EndpointAnswer{EndpointOutcome::NotConnected, nullptr,
+                                  aError.message(),
+                                  aError == asio::error::connection_refused});
       return;
     }
     aConnection->mConnected = true;
@@ -391,6 +393,12 @@
   void End(Id aId, EndpointOutcome aOutcome,
            std::shared_ptr<Response> aResponse, std::string aReason,
            bool aReusable = false) {
+    EndWith(aId,
+            EndpointAnswer{aOutcome, std::move(aResponse), std::move(aReason)},
+            aReusable);
+  }
+
+  void EndWith(Id aId, EndpointAnswer aAnswer, bool aReusable = false) {
     const auto found = mPending.find(aId);
     if (found == mPending.end()) {
       return;
@@ -404,8 +412,7 @@
     } else {
       Close(connection);
     }
-    callback(
-        EndpointAnswer{aOutcome, std::move(aResponse), std::move(aReason)});
+    callback(std::move(aAnswer));
   }
 
   void Keep(const ConnectionPtr& aConnection) {
--- a/drivers/endpoint_client.h
+++ b/drivers/endpoint_client.h
@@ -50,6 +50,8 @@
   std::shared_ptr<Response> mResponse;
   /** What went wrong, for logs. */
   std::string mReason;
+  /** No program listens at the address. */
+  bool mRefused = false;
 };
 
 /** Counts of an endpoint client since it was made. */
--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -196,7 +196,7 @@
           [&traffic](std::vector<MemberRecord> aMembers, std::size_t aKnown) {
             traffic->SetMembers(std::move(aMembers), aKnown);
           },
-          [&traffic](const EndpointCrash& aCrash) {
+          [&traffic](const CrashRecord& aCrash) {
             traffic->NoteCrash(aCrash);
           },
           [&traffic] { return traffic->RenderMetrics(); }});
@@ -204,7 +204,7 @@
   GatewayTraffic serving(
       gateway, clock,
       TrafficHooks{[&control] { control.Leave(); },
-                   [&control](std::vector<EndpointCrash> aCrashes) {
+                   [&control](std::vector<CrashRecord> aCrashes) {
                      control.TellCrashes(std::move(aCrashes));
                    },
                    [&control] { control.NotePause(); },
--- a/model/gateway_model.cpp
+++ b/model/gateway_model.cpp
@@ -215,6 +215,8 @@
       return;
     }
     ProbeReply reply;
+    reply.mSight =
+        endpoint.IsDown() ? EndpointSight::Nobody : EndpointSight::Itself;
     if (!endpoint.IsDown()) {
       reply.mSample = endpoint.Load();
     }
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -108,7 +108,7 @@
   });
 }
 
-void GatewayControl::TellCrashes(std::vector<EndpointCrash> aCrashes) {
+void GatewayControl::TellCrashes(std::vector<CrashRecord> aCrashes) {
   asio::post(mContext, [this, crashes = std::move(aCrashes)] {
     Send(mGossip.Announce(crashes));
   });
@@ -249,7 +249,7 @@
   if (const auto sender = mGossip.Find(aMessage.mSender.mName)) {
     Act(mKeeper.PeerTold(sender->mControlAddress, aMessage.mView, now));
   }
-  for (const EndpointCrash& crash : aMessage.mCrashes) {
+  for (const CrashRecord& crash : aMessage.mCrashes) {
     mHooks.mCrashTold(crash);
   }
   PublishTrust();
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -26,7 +26,7 @@
   std::function<void(bool)> mTrustChanged;
   /** The hosts that can be reached and how many are known in all. */
   std::function<void(std::vector<MemberRecord>, std::size_t)> mMembersChanged;
-  std::function<void(EndpointCrash)> mCrashTold;
+  std::function<void(CrashRecord)> mCrashTold;
   /** The text of the metrics page. */
   std::function<std::string()> mRenderMetrics;
 };
@@ -51,7 +51,7 @@
   /** Tells the fleet that this host gets no new callers. */
   void Leave();
   /** Tells the fleet of requests that crashed endpoints. */
-  void TellCrashes(std::vector<EndpointCrash> aCrashes);
+  void TellCrashes(std::vector<CrashRecord> aCrashes);
   /** Traffic noticed that the process was suspended. */
   void NotePause();
   /** What callers make this host carry. */
--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -55,6 +55,8 @@
   request.mHost = aExchange.Header("Host").value_or("");
   request.mTarget = aExchange.Target();
   request.mBodyHash = StableHash(aExchange.Body());
+  const auto caller = aExchange.Header("Authorization");
+  request.mCallerHash = caller ? StableHash(*caller) : 0;
   const auto timeLeft =
       aExchange.Header(std::string(platform::kTimeLeftHeader));
   const auto millis =
@@ -106,14 +108,20 @@
 ProbeReply ReadProbeAnswer(const std::string& aEndpoint,
                            const EndpointAnswer& aAnswer) {
   ProbeReply reply;
+  if (aAnswer.mRefused) {
+    reply.mSight = EndpointSight::Nobody;
+  }
   if (aAnswer.mOutcome != EndpointOutcome::Answered) {
     return reply;
   }
   const HeaderList& headers = aAnswer.mResponse->mHeaders;
   const auto endpoint = FindHeader(headers, platform::kEndpointIdHeader);
   if (endpoint.value_or(aEndpoint) != aEndpoint) {
+    reply.mSight = EndpointSight::Another;
     return reply;
   }
+  // An answer that names nobody may be of any program at the address.
+  reply.mSight = endpoint ? EndpointSight::Itself : EndpointSight::Unclear;
   reply.mNotice = ReadNotice(*aAnswer.mResponse);
   if (const auto load = FindHeader(headers, platform::kLoadHeader)) {
     reply.mSample = platform::ParseLoad(*load);
@@ -126,6 +134,8 @@
   switch (aAnswer.mOutcome) {
     case EndpointOutcome::NotConnected:
       reply.mResult = AttemptResult::NotConnected;
+      reply.mSight =
+          aAnswer.mRefused ? EndpointSight::Nobody : EndpointSight::Unclear;
       return reply;
     case EndpointOutcome::Lost:
       reply.mResult = AttemptResult::Lost;
@@ -137,6 +147,9 @@
       break;
   }
   const Response& response = *aAnswer.mResponse;
+  reply.mSight = response.mStatus == http_status::kMisdirected
+                     ? EndpointSight::Another
+                     : EndpointSight::Itself;
   if (const auto load = FindHeader(response.mHeaders, platform::kLoadHeader)) {
     reply.mSample = platform::ParseLoad(*load);
   }
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -151,7 +151,7 @@
   });
 }
 
-void GatewayTraffic::NoteCrash(const EndpointCrash& aCrash) {
+void GatewayTraffic::NoteCrash(const CrashRecord& aCrash) {
   asio::post(mContext, [this, aCrash] {
     mEngine.NoteRemoteCrash(aCrash, mClock.Now());
     LogCrashNotes();
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -26,7 +26,7 @@
 struct TrafficHooks {
   /** The host is about to stop. */
   std::function<void()> mLeaving;
-  std::function<void(std::vector<EndpointCrash>)> mCrashesSeen;
+  std::function<void(std::vector<CrashRecord>)> mCrashesSeen;
   /** The process was suspended. */
   std::function<void()> mPaused;
   /** What callers make this host carry. */
@@ -55,7 +55,7 @@
   void SetView(std::shared_ptr<const RoutingView> aView);
   void SetTrusted(bool aTrusted);
   void SetMembers(std::vector<MemberRecord> aReachable, std::size_t aKnown);
-  void NoteCrash(const EndpointCrash& aCrash);
+  void NoteCrash(const CrashRecord& aCrash);
   /** Serves what is left and then calls the hook. */
   void Leave();
   [[nodiscard]] std::string RenderMetrics();
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -57,9 +57,11 @@
 void GatewayTraffic::LogCrashNotes() {
   for (const CrashNote& note : mEngine.TakeCrashNotes()) {
     Log(LogLevel::Info, "crash_note",
-        {{"step", CrashNoteName(note.mKind)},
-         {"fingerprint", fmt::format("{:016x}", note.mCrash.mFingerprint)},
-         {"endpoint", note.mCrash.mEndpoint},
+        {{"step", CrashStepName(note.mStep)},
+         {"proof", CrashProofName(note.mProof)},
+         {"fingerprint", fmt::format("{:016x}", note.mFingerprint)},
+         {"request", note.mRequestId},
+         {"endpoint", note.mEndpoint},
          {"crashes", note.mCrashes}});
   }
 }
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -1,5 +1,7 @@
 #include "servers/gossip_codec.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
@@ -7,6 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "core/base/rendezvous.h"
+
 namespace papayawheel {
 namespace {
 
@@ -26,6 +30,11 @@
 /** Where a full record says what its host can carry. */
 constexpr std::size_t kCapacityField = 9;
 
+/** Fields of a crash from earlier programs, which tell neither its name nor its
+ * times. */
+constexpr std::size_t kCrashFieldsBefore = 2;
+constexpr Duration kMostAgo = std::chrono::hours(24);
+
 /** A datagram no longer than this cannot nest so deep that reading it uses up
  * the stack; longer ones are looked at first. */
 constexpr std::size_t kSafeLength = 2048;
@@ -114,6 +123,32 @@
   return record;
 }
 
+Json RenderCrash(const CrashRecord& aRecord) {
+  return Json::array({aRecord.mFingerprint, aRecord.mEndpoint, aRecord.mId,
+                      aRecord.mSentAgo.count(), aRecord.mEndedAgo.count()});
+}
+
+/** An age from another host, in microseconds. */
+Duration ParseAgo(const Json& aAgo) {
+  return std::clamp(Duration(aAgo.get<std::int64_t>()), Duration::zero(),
+                    kMostAgo);
+}
+
+CrashRecord ParseCrash(const Json& aCrash) {
+  CrashRecord record;
+  record.mFingerprint = aCrash.at(0).get<std::uint64_t>();
+  record.mEndpoint = aCrash.at(1).get<std::string>();
+  if (aCrash.size() == kCrashFieldsBefore) {
+    record.mId =
+        StableHash(fmt::format("{}/{}", record.mFingerprint, record.mEndpoint));
+    return record;
+  }
+  record.mId = aCrash.at(2).get<std::uint64_t>();
+  record.mSentAgo = ParseAgo(aCrash.at(3));
+  record.mEndedAgo = ParseAgo(aCrash.at(4));
+  return record;
+}
+
 /** Nothing is written as null. */
 Json RenderAge(const std::optional<Duration>& aAge) {
   return aAge ? Json(aAge->count()) : Json(nullptr);
@@ -150,8 +185,8 @@
     records.push_back(RenderRecord(record));
   }
   Json crashes = Json::array();
-  for (const EndpointCrash& crash : aMessage.mCrashes) {
-    crashes.push_back(Json::array({crash.mFingerprint, crash.mEndpoint}));
+  for (const CrashRecord& crash : aMessage.mCrashes) {
+    crashes.push_back(RenderCrash(crash));
   }
   const Json message =
       Json::array({kVersion, static_cast<int>(aMessage.mKind),
@@ -185,8 +220,7 @@
     }
     message.mDoubts = parsed.at(7).get<std::vector<std::string>>();
     for (const Json& crash : parsed.at(8)) {
-      message.mCrashes.push_back(EndpointCrash{crash.at(0).get<std::uint64_t>(),
-                                               crash.at(1).get<std::string>()});
+      message.mCrashes.push_back(ParseCrash(crash));
     }
     message.mWantsRoster = parsed.size() > kWantsRosterField &&
                            parsed.at(kWantsRosterField).get<bool>();
--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <numeric>
 
 namespace papayawheel {
@@ -75,10 +76,10 @@
 CallId GatewayHarness::AskFor(const std::string& aHost,
                               const std::string& aTarget) {
   const CallId id = ++mLastCall;
-  mIdempotent[id] = true;
+  mIdempotent[id] = aHost != kOnceHost;
   GatewayRequest request;
   request.mRequestId = fmt::format("{}", id);
-  request.mMethod = "GET";
+  request.mMethod = mIdempotent[id] ? "GET" : "POST";
   request.mHost = aHost;
   request.mTarget = aTarget;
   Act(mEngine.Arrive(id, request, mClock.Now()));
@@ -86,6 +87,7 @@
 }
 
 void GatewayHarness::Advance(Duration aTime) {
+  EndOnFallen(AttemptResult::NotConnected);
   const TimePoint end = mClock.Now() + aTime;
   while (const auto due = mEngine.NextDue()) {
     if (*due > end) {
@@ -112,6 +114,12 @@
                  aResult != AttemptResult::NotExecuted;
   AttemptReply reply;
   reply.mResult = aResult;
+  if (aResult == AttemptResult::NotConnected) {
+    reply.mSight = EndpointSight::Nobody;
+  } else if (aResult == AttemptResult::Answered ||
+             aResult == AttemptResult::NotExecuted) {
+    reply.mSight = EndpointSight::Itself;
+  }
   reply.mNotice = aNotice;
   if (aResult == AttemptResult::Answered) {
     auto response = std::make_shared<Response>();
@@ -122,13 +130,41 @@
   Act(mEngine.AttemptEnded(id, reply, mClock.Now()));
 }
 
-void GatewayHarness::AnswerProbes(bool aAnswered,
-                                  const EndpointNotice& aNotice) {
+void GatewayHarness::Crash(const std::vector<std::string>& aEndpoints) {
+  mFallen.insert(aEndpoints.begin(), aEndpoints.end());
+  EndOnFallen(AttemptResult::Lost);
+}
+
+void GatewayHarness::EndOnFallen(AttemptResult aResult) {
+  // What is sent on to a fallen endpoint meanwhile is refused afterwards.
+  const std::vector<AttemptId> running = Running();
+  for (const AttemptId id : running) {
+    Attempt& attempt = mAttempts.at(id);
+    if (attempt.mEnded || !mFallen.contains(attempt.mEndpoint)) {
+      continue;
+    }
+    attempt.mEnded = true;
+    attempt.mRan = aResult == AttemptResult::Lost;
+    AttemptReply reply;
+    reply.mResult = aResult;
+    reply.mSight = aResult == AttemptResult::NotConnected
+                       ? EndpointSight::Nobody
+                       : EndpointSight::Unclear;
+    Act(mEngine.AttemptEnded(id, reply, mClock.Now()));
+  }
+}
+
+void GatewayHarness::AnswerProbes(bool aAnswered, const EndpointNotice& aNotice,
+                                  EndpointSight aSight) {
   const auto probes = mProbes;
   mProbes.clear();
   for (const auto& [id, endpoint] : probes) {
     ProbeReply reply;
-    if (aAnswered) {
+    const bool answered = aAnswered && !mFallen.contains(endpoint);
+    reply.mSight = answered                     ? EndpointSight::Itself
+                   : mFallen.contains(endpoint) ? EndpointSight::Nobody
+                                                : aSight;
+    if (answered) {
       reply.mSample = LoadSample{0, 0, 4, 1};
       reply.mNotice = aNotice;
     }
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -40,11 +40,16 @@
   void Publish(const std::vector<std::size_t>& aNumbers);
   CallId Ask(bool aIdempotent, std::optional<Duration> aPatience = {});
   CallId AskFor(const std::string& aHost, const std::string& aTarget);
+  /** Endpoints crash at one moment: what runs on them is lost, and they refuse
+   * connections from then on. */
+  void Crash(const std::vector<std::string>& aEndpoints);
   void Advance(Duration aTime);
   /** Ends the running attempt with a number counted over those that run. */
   void End(std::size_t aNumber, AttemptResult aResult, int aStatus = 200,
            const EndpointNotice& aNotice = {});
-  void AnswerProbes(bool aAnswered, const EndpointNotice& aNotice = {});
+  /** @param aSight who is met at the addresses if none answers. */
+  void AnswerProbes(bool aAnswered, const EndpointNotice& aNotice = {},
+                    EndpointSight aSight = EndpointSight::Unclear);
   /** Questions for loads that wait for an answer. */
   [[nodiscard]] std::size_t Probes() const { return mProbes.size(); }
   void Leave(CallId aCall);
@@ -64,6 +69,10 @@
   [[nodiscard]] const std::map<CallId, bool>& Calls() const {
     return mIdempotent;
   }
+  /** What requests like that of an unanswered call have in common. */
+  [[nodiscard]] std::uint64_t FingerprintOf(CallId aCall) const {
+    return mEngine.FingerprintOf(aCall);
+  }
   /** Attempts of a call that an endpoint began to run. */
   [[nodiscard]] std::size_t Runs(CallId aCall) const;
   GatewayEngine& Engine() { return mEngine; }
@@ -73,6 +82,8 @@
 
  private:
   void Act(const GatewayActions& aActions);
+  /** Ends the attempts that run on fallen endpoints. */
+  void EndOnFallen(AttemptResult aResult);
 
   FakeClock mClock;
   GatewayEngine mEngine;
@@ -81,6 +92,7 @@
   std::map<CallId, GatewayAnswer> mAnswers;
   std::map<CallId, bool> mIdempotent;
   std::set<CallId> mLeft;
+  std::set<std::string> mFallen;
   CallId mLastCall = 0;
   std::uint64_t mRevision = 0;
   std::string mHealthPath = "/health";
--- /dev/null
+++ b/tests/core/test_crash_ledger.cpp
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "core/gateway/crash_ledger.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kRequest = 7;
+const TimePoint kStart{std::chrono::hours(1)};
+
+/** A run of a request, in milliseconds after the start; answered if it names no
+ * endpoint. */
+struct Run {
+  const char* mEndpoint;
+  int mSent;
+  int mEnded;
+};
+
+CrashRecord RecordOf(std::uint64_t aId, const Run& aRun, TimePoint aNow) {
+  CrashRecord record;
+  record.mId = aId;
+  record.mFingerprint = kRequest;
+  record.mEndpoint = aRun.mEndpoint;
+  record.mSentAgo = std::chrono::duration_cast<Duration>(
+      aNow - kStart - milliseconds(aRun.mSent));
+  record.mEndedAgo = std::chrono::duration_cast<Duration>(
+      aNow - kStart - milliseconds(aRun.mEnded));
+  return record;
+}
+
+// Guards against requests that are refused since endpoints fell for another
+// reason, such as the loss of a rack.
+TEST_CASE("crash ledger: only crashes that follow one another speak against") {
+  struct Case {
+    const char* mWhat;
+    std::vector<Run> mRuns;
+    std::size_t mCrashes;
+  };
+  const std::vector<Case> cases = {
+      {"one after the other", {{"a", 0, 20}, {"b", 20, 40}}, 2},
+      {"on one endpoint that came back", {{"a", 0, 20}, {"a", 3000, 3020}}, 2},
+      {"copies at two endpoints that fell together",
+       {{"a", 0, 500}, {"b", 200, 500}, {"c", 300, 510}},
+       1},
+      {"copies at one endpoint, from two hosts",
+       {{"a", 0, 500}, {"a", 100, 500}},
+       1},
+      {"answered in between", {{"a", 0, 20}, {"", 30, 60}, {"b", 70, 90}}, 1},
+      {"answered after both", {{"a", 0, 20}, {"b", 20, 40}, {"", 50, 80}}, 0},
+      {"answered by a copy that was sent before",
+       {{"a", 10, 20}, {"b", 20, 40}, {"", 0, 80}},
+       2},
+      {"long ago", {{"a", -62000, -61000}, {"b", 0, 40}}, 1},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    const TimePoint now = kStart + seconds(4);
+    CrashLedger ledger;
+    std::uint64_t id = 0;
+    for (const Run& run : one.mRuns) {
+      ledger.Add(RecordOf(++id, run, now), now);
+    }
+    CHECK(ledger.Crashes(kRequest, now) == one.mCrashes);
+    CHECK((ledger.StopLeft(kRequest, now) > Duration::zero()) ==
+          (one.mCrashes >= 2));
+    CHECK(ledger.Crashes(kRequest + 1, now) == 0);
+  }
+}
+
+// Guards against a request that is tried again each minute for as long as its
+// caller comes back.
+TEST_CASE("crash ledger: each crash after a stop doubles the next one") {
+  CrashLedger ledger;
+  TimePoint now = kStart;
+  std::vector<seconds> stops;
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    ledger.Add(
+        CrashRecord{id, kRequest, "e", milliseconds(20), milliseconds(10)},
+        now);
+    const Duration left = ledger.StopLeft(kRequest, now);
+    stops.push_back(std::chrono::ceil<seconds>(left));
+    now += left + milliseconds(20);
+  }
+  CHECK(stops == std::vector<seconds>{seconds(0), seconds(60), seconds(120),
+                                      seconds(240), seconds(480),
+                                      seconds(960)});
+}
+
+TEST_CASE("crash ledger: hosts that hear the same in any order agree") {
+  const bool held = rc::check("orders", [] {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 12);
+    const TimePoint now = kStart + seconds(30);
+    std::vector<CrashRecord> records;
+    for (std::size_t id = 1; id <= count; ++id) {
+      const int sent = *rc::gen::inRange(0, 29000);
+      const int ended = sent + *rc::gen::inRange(1, 1000);
+      const bool answered = *rc::gen::inRange(0, 5) == 0;
+      records.push_back(
+          RecordOf(id, Run{answered ? "" : "e", sent, ended}, now));
+    }
+    std::vector<CrashRecord> others = records;
+    for (std::size_t i = 0; i < count; ++i) {
+      std::swap(others[i], others[*rc::gen::inRange<std::size_t>(0, count)]);
+    }
+    others.insert(others.end(), records.begin(), records.end());
+    CrashLedger first;
+    CrashLedger second;
+    for (const CrashRecord& record : records) {
+      RC_ASSERT(first.Add(record, now));
+    }
+    for (const CrashRecord& record : others) {
+      second.Add(record, now);
+    }
+    for (const seconds later : {seconds(0), seconds(45), seconds(3000)}) {
+      const TimePoint then = now + later;
+      RC_ASSERT(first.Crashes(kRequest, then) ==
+                second.Crashes(kRequest, then));
+      RC_ASSERT(first.StopLeft(kRequest, then) ==
+                second.StopLeft(kRequest, then));
+      RC_ASSERT(first.Digest(then) == second.Digest(then));
+    }
+    CrashLedger third;
+    for (const CrashRecord& record : first.Shared(now + seconds(5))) {
+      third.Add(record, now + seconds(5));
+    }
+    RC_ASSERT(third.Digest(now + seconds(6)) == first.Digest(now + seconds(6)));
+  });
+  CHECK(held);
+}
+
+TEST_CASE("crash ledger: what it remembers is bounded") {
+  CrashLedger ledger;
+  constexpr std::uint64_t kMany = 10'000;
+  constexpr std::size_t kMost = 4096;
+  for (std::uint64_t id = 1; id <= kMany; ++id) {
+    ledger.Add(CrashRecord{id, id, "e", milliseconds(20), milliseconds(10)},
+               kStart);
+    ledger.Add(CrashRecord{kMany + id, kRequest, "e", milliseconds(id + 1),
+                           milliseconds(id)},
+               kStart + milliseconds(kMany));
+  }
+  CHECK(ledger.Size() <= kMost);
+  CHECK(ledger.StopLeft(kRequest, kStart) > Duration::zero());
+  CHECK_FALSE(
+      ledger.Add(CrashRecord{1, 5, "e", seconds(3700), seconds(3690)}, kStart));
+}
+
+}  // namespace
+}  // namespace papayawheel
--- a/tests/core/test_crash_watch.cpp
+++ b/tests/core/test_crash_watch.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <functional>
+
 #include "core/gateway/crash_watch.h"
 
 namespace papayawheel {
@@ -10,43 +12,159 @@
 
 const TimePoint kStart{std::chrono::hours(1)};
 
+EndpointEntry Endpoint(const std::string& aId) {
+  EndpointEntry entry;
+  entry.mId = aId;
+  entry.mService = "service";
+  entry.mAddress = "10.0.0.1:" + aId;
+  entry.mIncarnation = 1;
+  return entry;
+}
+
+/** A request was sent to an endpoint 20 ms ago and its connection has broken.
+ */
+void Lose(CrashWatch& aWatch, const std::string& aEndpoint, TimePoint aNow) {
+  aWatch.NoteLost(Endpoint(aEndpoint),
+                  LostRun{7, "r", aNow - milliseconds(20), aNow}, aNow);
+}
+
+void See(CrashWatch& aWatch, const std::string& aEndpoint, EndpointSight aSight,
+         TimePoint aNow) {
+  aWatch.NoteSight(aEndpoint, aSight, aNow, aNow);
+}
+
+CrashRecord Told(std::uint64_t aId, const std::string& aEndpoint,
+                 milliseconds aSentAgo, milliseconds aEndedAgo) {
+  return CrashRecord{aId, 7, aEndpoint, aSentAgo, aEndedAgo};
+}
+
 TEST_CASE("crash watch: a request stops after it has crashed two endpoints") {
-  CrashWatch watch;
+  CrashWatch watch(1);
+  TimePoint now = kStart;
   for (const char* const endpoint : {"a", "b"}) {
-    CHECK_FALSE(watch.IsStopped(7, kStart));
-    watch.NoteLost(EndpointCrash{7, endpoint}, kStart);
-    watch.NoteUnreachable(endpoint, kStart + milliseconds(100));
-    CHECK(watch.IsSuspect(7, kStart + milliseconds(100)));
+    CHECK_FALSE(watch.IsStopped(7, now));
+    now += milliseconds(100);
+    Lose(watch, endpoint, now);
+    REQUIRE(watch.TakeQuestions(now).size() == 1);
+    See(watch, endpoint, EndpointSight::Nobody, now + milliseconds(2));
+    CHECK(watch.IsSuspect(7, now + milliseconds(2)));
   }
-  CHECK(watch.IsStopped(7, kStart + milliseconds(100)));
-  CHECK_FALSE(watch.IsStopped(8, kStart + milliseconds(100)));
+  CHECK(watch.IsStopped(7, now + milliseconds(2)));
+  CHECK_FALSE(watch.IsStopped(8, now + milliseconds(2)));
   CHECK(watch.TakeNews().size() == 2);
   CHECK(watch.TakeNews().empty());
-  CHECK_FALSE(watch.IsStopped(7, kStart + seconds(61)));
+  CHECK_FALSE(watch.IsStopped(7, now + seconds(61)));
 }
 
 TEST_CASE("crash watch: lost answers of endpoints that live are no crashes") {
-  CrashWatch watch;
+  CrashWatch watch(1);
   for (const char* const endpoint : {"a", "b", "c"}) {
-    watch.NoteLost(EndpointCrash{7, endpoint}, kStart);
-    watch.NoteAlive(endpoint, kStart);
-    watch.NoteUnreachable(endpoint, kStart + milliseconds(100));
-    watch.NoteLost(EndpointCrash{7, endpoint}, kStart + milliseconds(200));
+    Lose(watch, endpoint, kStart);
+    See(watch, endpoint, EndpointSight::Itself, kStart);
+    See(watch, endpoint, EndpointSight::Nobody, kStart + milliseconds(100));
+    Lose(watch, endpoint, kStart + milliseconds(200));
+    See(watch, endpoint, EndpointSight::Itself, kStart + milliseconds(210));
     // Unreachable only much later, for another reason.
-    watch.NoteUnreachable(endpoint, kStart + seconds(5));
+    See(watch, endpoint, EndpointSight::Nobody, kStart + seconds(5));
   }
   CHECK_FALSE(watch.IsSuspect(7, kStart + seconds(5)));
+  CHECK_FALSE(watch.NextQuestion());
 }
 
 TEST_CASE("crash watch: crashes that other hosts tell count") {
-  CrashWatch watch;
-  watch.NoteCrash(EndpointCrash{7, "a"}, kStart);
-  watch.NoteCrash(EndpointCrash{7, "a"}, kStart);
+  CrashWatch watch(1);
+  const CrashRecord first = Told(1, "a", milliseconds(90), milliseconds(70));
+  watch.NoteTold(first, kStart);
+  watch.NoteTold(first, kStart);
   CHECK_FALSE(watch.IsStopped(7, kStart));
-  watch.NoteCrash(EndpointCrash{7, "b"}, kStart);
+  watch.NoteTold(Told(2, "b", milliseconds(50), milliseconds(30)), kStart);
   CHECK(watch.IsStopped(7, kStart));
   CHECK(watch.TakeNews().empty());
 }
 
+// Guards against losses that are never counted, since the host that lost the
+// request has no other reason to call the endpoint (BUDGET).
+TEST_CASE("crash watch: whatever shows that an endpoint has ended is a proof") {
+  struct Case {
+    const char* mWhat;
+    std::function<void(CrashWatch&, TimePoint)> mHappens;
+    CrashNote::Proof mProof;
+  };
+  const auto published = [](CrashWatch& aWatch, TimePoint aNow,
+                            const std::vector<EndpointEntry>& aEntries) {
+    EndpointMap map;
+    for (const EndpointEntry& entry : aEntries) {
+      map.emplace(entry.mId, entry);
+    }
+    aWatch.NotePublished(map, aNow);
+  };
+  const std::vector<Case> cases = {
+      {"refused at once",
+       [](CrashWatch& aWatch, TimePoint aNow) {
+         See(aWatch, "a", EndpointSight::Nobody, aNow);
+       },
+       CrashNote::Proof::Refused},
+      {"dark first, then refused",
+       [](CrashWatch& aWatch, TimePoint aNow) {
+         See(aWatch, "a", EndpointSight::Unclear, aNow);
+         See(aWatch, "a", EndpointSight::Nobody, aNow + seconds(4));
+       },
+       CrashNote::Proof::Refused},
+      {"another has its address",
+       [](CrashWatch& aWatch, TimePoint aNow) {
+         See(aWatch, "a", EndpointSight::Another, aNow + seconds(2));
+       },
+       CrashNote::Proof::Replaced},
+      {"no longer published",
+       [&](CrashWatch& aWatch, TimePoint aNow) {
+         published(aWatch, aNow + seconds(1), {Endpoint("a")});
+         published(aWatch, aNow + seconds(6), {Endpoint("b")});
+       },
+       CrashNote::Proof::Removed},
+      {"back under its id before it was asked, and published later",
+       [&](CrashWatch& aWatch, TimePoint aNow) {
+         See(aWatch, "a", EndpointSight::Itself, aNow + seconds(2));
+         EndpointEntry anew = Endpoint("a");
+         anew.mIncarnation = 2;
+         published(aWatch, aNow + seconds(3), {anew});
+       },
+       CrashNote::Proof::Restarted},
+      {"another host saw it end",
+       [](CrashWatch& aWatch, TimePoint aNow) {
+         CrashRecord other = Told(9, "a", milliseconds(30), milliseconds(10));
+         other.mFingerprint = 8;
+         aWatch.NoteTold(other, aNow);
+       },
+       CrashNote::Proof::OtherHost},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    CrashWatch watch(1);
+    Lose(watch, "a", kStart);
+    one.mHappens(watch, kStart + milliseconds(1));
+    CHECK(watch.IsSuspect(7, kStart + seconds(6)));
+    const auto notes = watch.TakeNotes();
+    REQUIRE_FALSE(notes.empty());
+    CHECK(notes.back().mStep == CrashNote::Step::Confirmed);
+    CHECK(notes.back().mProof == one.mProof);
+  }
+}
+
+TEST_CASE("crash watch: an endpoint that gives no word is asked again") {
+  CrashWatch watch(1);
+  Lose(watch, "a", kStart);
+  std::size_t asked = 0;
+  TimePoint now = kStart;
+  while (const auto next = watch.NextQuestion()) {
+    now = std::max(now, *next);
+    asked += watch.TakeQuestions(now).size();
+  }
+  CHECK(asked >= 5);
+  CHECK(asked <= 12);
+  CHECK(now <= kStart + seconds(40));
+  CHECK(watch.TakeNotes().back().mStep == CrashNote::Step::Unproved);
+  CHECK_FALSE(watch.IsSuspect(7, now));
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -1,6 +1,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <set>
+#include <string>
+#include <vector>
+
 #include "tests/core/gateway_harness.h"
 #include "tests/core/schedule_step.h"
 
@@ -8,6 +12,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 enum class Act {
   AskSafe,
@@ -478,6 +483,79 @@
   }
 }
 
+/** Runs until each call that waits was sent or given up; the endpoints that
+ * have not fallen tell their load. */
+void Settle(GatewayHarness& aHarness) {
+  for (int round = 0; round < 6; ++round) {
+    aHarness.AnswerProbes(true);
+    aHarness.Advance(milliseconds(15));
+  }
+}
+
+// Guards against a request that is sent to one endpoint after the other as
+// often as its caller comes again, though each ended with it (BUDGET).
+TEST_CASE("gateway: the second crash stops a request") {
+  for (const char* const host :
+       {GatewayHarness::kSafeHost, GatewayHarness::kOnceHost}) {
+    CAPTURE(std::string(host));
+    GatewayHarness harness(12);
+    std::size_t fell = 0;
+    CallId last = 0;
+    for (int round = 0; round < 10; ++round) {
+      last = harness.AskFor(host, "/bad");
+      Settle(harness);
+      while (!harness.Running().empty()) {
+        harness.Crash(
+            {harness.Attempts().at(harness.Running().front()).mEndpoint});
+        ++fell;
+        Settle(harness);
+      }
+      const CallId other =
+          harness.AskFor(host, "/good" + std::to_string(round));
+      Settle(harness);
+      CHECK(harness.Running().size() == 1);
+      harness.End(0, AttemptResult::Answered);
+      CHECK(harness.Answers().at(other).mResponse != nullptr);
+      harness.Advance(seconds(1));
+    }
+    CHECK(fell == 2);
+    const GatewayAnswer& answer = harness.Answers().at(last);
+    CHECK(answer.mError == ErrorKind::Quarantined);
+    CHECK(answer.mRetryAfter > seconds(40));
+  }
+}
+
+// Guards against requests that are refused for a minute since endpoints fell
+// beneath them for another reason.
+TEST_CASE("gateway: requests on endpoints that fell are not stopped") {
+  constexpr std::size_t kCalls = 20;
+  GatewayHarness harness(8);
+  std::vector<std::string> targets;
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    targets.push_back("/" + std::to_string(call));
+    harness.AskFor(GatewayHarness::kSafeHost, targets.back());
+  }
+  Settle(harness);
+  // Long enough for hedges.
+  harness.Advance(milliseconds(250));
+  Settle(harness);
+  harness.Crash({"e0", "e1", "e2"});
+  Settle(harness);
+  std::size_t suspects = 0;
+  for (const CrashNote& note : harness.Engine().TakeCrashNotes()) {
+    suspects += note.mStep == CrashNote::Step::Confirmed ? 1 : 0;
+  }
+  CHECK(suspects > 0);
+  for (const std::string& target : targets) {
+    const CallId again = harness.AskFor(GatewayHarness::kSafeHost, target);
+    Settle(harness);
+    const auto answer = harness.Answers().find(again);
+    const bool stopped = answer != harness.Answers().end() &&
+                         answer->second.mError == ErrorKind::Quarantined;
+    CHECK_FALSE(stopped);
+  }
+}
+
 TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
   for (const bool idempotent : {true, false}) {
     GatewayHarness harness(2);
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -206,7 +206,8 @@
   brief.mVersion = 1;
   message.mRecords = {message.mSender, brief};
   message.mDoubts = {"h3"};
-  message.mCrashes = {EndpointCrash{0xfedcba9876543210ULL, "i-1"}};
+  message.mCrashes = {CrashRecord{7, 0xfedcba9876543210ULL, "i-1",
+                                  milliseconds(90), milliseconds(20)}};
   message.mWantsRoster = true;
   message.mSender.mCapacity = HostCapacity{0.5, 25e6};
   message.mUse = HostUse{120, 3e6};
