Requests that lost an endpoint are kept apart

Cause: nothing told them apart. Change: a call that may have crashed an endpoint is not sent where another such call runs, unless there is no other place. Measured: "gateway: requests that lost an endpoint are kept apart" fails without the change (all on one endpoint) and passes.

--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -132,8 +132,7 @@
   while (const DispatchQueue::Waiting* const waiting = service.mQueue.Front()) {
     const CallId id = waiting->mId;
     Call& call = mCalls.at(id);
-    const auto choice =
-        service.mPool.Pick(call.mAvoided, WorkOf(call.mRoute), aNow);
+    const auto choice = Choose(service, call, aNow);
     // What cannot be asked for is taken as believed.
     const bool known = choice && (service.mPool.IsFresh(choice->mId, aNow) ||
                                   HealthPath(aService).empty() ||
@@ -155,6 +154,26 @@
   }
 }
 
+std::optional<EndpointPool::Choice> GatewayEngine::Choose(
+    const ServiceState& aService, const Call& aCall, TimePoint aNow) const {
+  const Duration work = WorkOf(aCall.mRoute);
+  const auto choice = aService.mPool.Pick(AvoidedBy(aCall, aNow), work, aNow);
+  return choice ? choice : aService.mPool.Pick(aCall.mAvoided, work, aNow);
+}
+
+std::vector<std::string> GatewayEngine::AvoidedBy(const Call& aCall,
+                                                  TimePoint aNow) const {
+  std::vector<std::string> avoided = aCall.mAvoided;
+  if (aCall.mIsSuspect || mCrashes.IsSuspect(aCall.mFingerprint, aNow)) {
+    for (const auto& [id, attempt] : mAttempts) {
+      if (attempt.mIsSuspect) {
+        avoided.push_back(attempt.mEndpoint);
+      }
+    }
+  }
+  return avoided;
+}
+
 std::string_view GatewayEngine::HealthPath(const std::string& aService) const {
   const auto& services = mView->mRoutes->Source().mServices;
   const auto terms = services.find(aService);
@@ -177,7 +196,7 @@
   const std::size_t most = std::clamp(kLeastAsked - 1 + service.mQueue.Size(),
                                       kLeastAsked, kMostAsked);
   auto candidates = service.mPool.StaleCandidates(
-      first.mAvoided, WorkOf(first.mRoute), most, aNow);
+      AvoidedBy(first, aNow), WorkOf(first.mRoute), most, aNow);
   if (!healthPath.empty()) {
     candidates.resize(service.mProbeBudget.Take(candidates.size(), aNow));
     for (const EndpointPool::Candidate& candidate : candidates) {
@@ -219,6 +238,7 @@
     // It ends by itself.
     return;
   }
+  aCall.mIsSuspect = true;
   mCrashes.NoteLost(aAttempt.mEntry,
                     LostRun{aCall.mFingerprint, aCall.mRequest.mRequestId,
                             aAttempt.mSentAt, aNow},
@@ -282,8 +302,7 @@
                                GatewayActions& aActions) {
   LeaveQueue(aId, aCall);
   ServiceState& service = ServiceOf(aCall.mService);
-  const auto choice =
-      service.mPool.Pick(aCall.mAvoided, WorkOf(aCall.mRoute), aNow);
+  const auto choice = Choose(service, aCall, aNow);
   const bool mayGo = aCall.mPurpose != Purpose::Hedge && choice &&
                      choice->mFill < kMostFill &&
                      aNow + choice->mExpected < aCall.mDeadline;
@@ -329,6 +348,8 @@
   started.mExpected = aChoice.mExpected;
   started.mSlowdown = aChoice.mSlowdown;
   started.mEntry = mView->mEndpoints->at(aChoice.mId);
+  started.mIsSuspect =
+      aCall.mIsSuspect || mCrashes.IsSuspect(aCall.mFingerprint, aNow);
   aCall.mRunning.push_back(attempt);
   aCall.mTried.push_back(aChoice.mId);
   aCall.mAvoided.push_back(aChoice.mId);
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -107,6 +107,8 @@
     EndpointEntry mEntry{};
     /** The endpoint was published as leaving since then. */
     bool mEndpointLeaves = false;
+    /** The request has lost an endpoint before, or one like it has. */
+    bool mIsSuspect = false;
   };
 
   struct Probe {
@@ -138,6 +140,8 @@
     std::uint32_t mUnreached = 0;
     /** An endpoint may have begun to run the request. */
     bool mMayHaveRun = false;
+    /** An attempt brought no answer, so its endpoint may have ended by it. */
+    bool mIsSuspect = false;
     bool mCallerLeft = false;
     bool mHeld = false;
     /** It waits in the queue of its service. */
@@ -219,6 +223,13 @@
                                      const Call& aCall, TimePoint aNow) const;
   [[nodiscard]] Duration ExpectedWait(const ServiceState& aService,
                                       const Call& aCall) const;
+  /** The best endpoint for a call that may be sent now. */
+  [[nodiscard]] std::optional<EndpointPool::Choice> Choose(
+      const ServiceState& aService, const Call& aCall, TimePoint aNow) const;
+  /** Endpoints that a call should not go to. Calls that may crash endpoints
+   * keep to different ones: then only those that do lose a second one. */
+  [[nodiscard]] std::vector<std::string> AvoidedBy(const Call& aCall,
+                                                   TimePoint aNow) const;
   /** Takes a repeat from the budget if the call needs one. */
   bool MayBeSent(ServiceState& aService, const Call& aCall, TimePoint aNow);
   void NoteSend(ServiceState& aService, TimePoint aNow);
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -492,6 +492,19 @@
   }
 }
 
+/** Endpoints at which a call runs now. */
+std::vector<std::string> EndpointsOf(const GatewayHarness& aHarness,
+                                     CallId aCall) {
+  std::vector<std::string> endpoints;
+  for (const AttemptId running : aHarness.Running()) {
+    const auto& attempt = aHarness.Attempts().at(running);
+    if (attempt.mCall == aCall) {
+      endpoints.push_back(attempt.mEndpoint);
+    }
+  }
+  return endpoints;
+}
+
 // Guards against a request that is sent to one endpoint after the other as
 // often as its caller comes again, though each ended with it (BUDGET).
 TEST_CASE("gateway: the second crash stops a request") {
@@ -556,6 +569,35 @@
   }
 }
 
+// Guards against requests that are refused since they were sent on to the same
+// endpoint as the one that crashes what runs it.
+TEST_CASE("gateway: requests that lost an endpoint are kept apart") {
+  GatewayHarness harness(6);
+  std::vector<CallId> calls;
+  while (calls.size() < 12) {
+    calls.push_back(harness.Ask(true));
+  }
+  Settle(harness);
+  const std::string fallen = EndpointsOf(harness, calls.front()).front();
+  std::vector<CallId> lost;
+  for (const CallId call : calls) {
+    const auto endpoints = EndpointsOf(harness, call);
+    if (endpoints == std::vector<std::string>{fallen}) {
+      lost.push_back(call);
+    }
+  }
+  REQUIRE(lost.size() >= 2);
+  harness.Crash({fallen});
+  Settle(harness);
+  std::set<std::string> now;
+  for (const CallId call : lost) {
+    for (const std::string& endpoint : EndpointsOf(harness, call)) {
+      CHECK(now.insert(endpoint).second);
+    }
+  }
+  CHECK(now.size() >= std::min<std::size_t>(lost.size(), 5));
+}
+
 TEST_CASE("gateway: a caller who leaves ends what may be repeated") {
   for (const bool idempotent : {true, false}) {
     GatewayHarness harness(2);
