A request that is stopped while it waits is not sent

Change: it is looked at when a call leaves the queue, hedges and repeats included. Measured: "gateway: a request that is stopped while it waits is not sent" fails without the change and passes.

--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -132,6 +132,11 @@
   while (const DispatchQueue::Waiting* const waiting = service.mQueue.Front()) {
     const CallId id = waiting->mId;
     Call& call = mCalls.at(id);
+    if (mCrashes.IsStopped(call.mFingerprint, aNow)) {
+      LeaveQueue(id, call);
+      GiveUp(id, call, ErrorKind::Quarantined, aActions);
+      continue;
+    }
     const auto choice = Choose(service, call, aNow);
     // What cannot be asked for is taken as believed.
     const bool known = choice && (service.mPool.IsFresh(choice->mId, aNow) ||
@@ -301,6 +306,10 @@
 void GatewayEngine::QueueEnded(CallId aId, Call& aCall, TimePoint aNow,
                                GatewayActions& aActions) {
   LeaveQueue(aId, aCall);
+  if (mCrashes.IsStopped(aCall.mFingerprint, aNow)) {
+    GiveUp(aId, aCall, ErrorKind::Quarantined, aActions);
+    return;
+  }
   ServiceState& service = ServiceOf(aCall.mService);
   const auto choice = Choose(service, aCall, aNow);
   const bool mayGo = aCall.mPurpose != Purpose::Hedge && choice &&
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -538,6 +538,23 @@
   }
 }
 
+// Guards against a request that waits in a queue when it turns out that those
+// like it crash endpoints, and is sent all the same.
+TEST_CASE("gateway: a request that is stopped while it waits is not sent") {
+  GatewayHarness harness(3);
+  const CallId waiting = harness.AskFor(GatewayHarness::kSafeHost, "/bad");
+  REQUIRE(harness.Running().empty());
+  const CrashRecord first{1, harness.FingerprintOf(waiting), "x1",
+                          milliseconds(40), milliseconds(30)};
+  const CrashRecord second{2, harness.FingerprintOf(waiting), "x2",
+                           milliseconds(20), milliseconds(10)};
+  harness.Engine().NoteRemoteCrash(first, harness.Time().Now());
+  harness.Engine().NoteRemoteCrash(second, harness.Time().Now());
+  Settle(harness);
+  CHECK(harness.Attempts().empty());
+  CHECK(harness.Answers().at(waiting).mError == ErrorKind::Quarantined);
+}
+
 // Guards against requests that are refused for a minute since endpoints fell
 // beneath them for another reason.
 TEST_CASE("gateway: requests on endpoints that fell are not stopped") {
