Two crashes of one call count as two on every host

Cause, from the logs of such a run: the repeat is sent at the moment at which the first attempt ends, and both times were rounded on their way into a record, by different clocks; the repeat seemed to begin before the first crash, so both counted as one. Other hosts saw the same through unequal delays. Ruled out: a crash that was not proved (both were confirmed within 2 ms). Change: a record says when its run ended by the clock of the host that saw it, and how long it ran; records of one host are ordered by that clock.

--- a/core/gateway/crash_ledger.cpp
+++ b/core/gateway/crash_ledger.cpp
@@ -19,6 +19,8 @@
 constexpr seconds kMemory{60};
 /** The same if it was; longer than its longest stop. */
 constexpr seconds kLongMemory{3600};
+/** The most that records may be delayed on their way. */
+constexpr seconds kMostDelay{5};
 /** Records are not told in the last part of their life: another host may have
  * forgotten them already and would take them for new. */
 constexpr seconds kUntoldTime{10};
@@ -47,7 +49,20 @@
   Entry entry;
   entry.mRecord = aRecord;
   entry.mEndedAt = aNow - aRecord.mEndedAgo;
-  entry.mSentAt = aNow - std::max(aRecord.mSentAgo, aRecord.mEndedAgo);
+  const auto sibling =
+      std::find_if(entries.begin(), entries.end(), [&](const Entry& aEntry) {
+        return aEntry.mRecord.mOrigin == aRecord.mOrigin;
+      });
+  if (sibling != entries.end()) {
+    // Ages grow on their way, each by another time; clocks of one host agree.
+    const TimePoint byOrigin =
+        sibling->mEndedAt +
+        (aRecord.mOriginTime - sibling->mRecord.mOriginTime);
+    const bool credible = byOrigin > entry.mEndedAt - kMostDelay &&
+                          byOrigin < entry.mEndedAt + kMostDelay;
+    entry.mEndedAt = credible ? byOrigin : entry.mEndedAt;
+  }
+  entry.mSentAt = entry.mEndedAt - aRecord.mRan;
   const auto isEarlier = [](const Entry& aLeft, const Entry& aRight) {
     return aLeft.mEndedAt < aRight.mEndedAt;
   };
@@ -94,8 +109,6 @@
     for (const Entry& entry : entries) {
       if (IsCurrent(entry, aNow)) {
         CrashRecord record = entry.mRecord;
-        record.mSentAgo =
-            std::chrono::duration_cast<Duration>(aNow - entry.mSentAt);
         record.mEndedAgo =
             std::chrono::duration_cast<Duration>(aNow - entry.mEndedAt);
         shared.push_back(std::move(record));
--- a/core/gateway/crash_watch.cpp
+++ b/core/gateway/crash_watch.cpp
@@ -31,6 +31,11 @@
 constexpr std::size_t kMostSuspicions = 4096;
 constexpr std::size_t kMostRuns = 64;
 
+/** Rounded once, so that two events of one moment stay at one moment. */
+Duration SinceEpoch(TimePoint aTime) {
+  return std::chrono::duration_cast<Duration>(aTime.time_since_epoch());
+}
+
 }  // namespace
 
 std::string_view CrashStepName(CrashNote::Step aStep) {
@@ -163,14 +168,7 @@
       AddNote(CrashNote::Step::Acquitted, aProof, endpoint, pending.mRun, aNow);
       continue;
     }
-    CrashRecord record;
-    record.mFingerprint = pending.mRun.mFingerprint;
-    record.mEndpoint = endpoint;
-    record.mSentAgo =
-        std::chrono::duration_cast<Duration>(aNow - pending.mRun.mSentAt);
-    record.mEndedAgo =
-        std::chrono::duration_cast<Duration>(aNow - pending.mRun.mEndedAt);
-    Record(std::move(record), aNow);
+    Record(endpoint, pending.mRun, aNow);
     AddNote(CrashNote::Step::Confirmed, aProof, endpoint, pending.mRun, aNow);
   }
   return next;
@@ -182,18 +180,25 @@
   if (before == 0) {
     return;
   }
-  CrashRecord record;
-  record.mFingerprint = aFingerprint;
-  record.mSentAgo = std::chrono::duration_cast<Duration>(aNow - aSentAt);
-  Record(std::move(record), aNow);
-  AddNote(CrashNote::Step::Cleared, CrashNote::Proof::None, "",
-          LostRun{aFingerprint, "", aSentAt, aNow}, aNow);
+  const LostRun run{aFingerprint, "", aSentAt, aNow};
+  Record("", run, aNow);
+  AddNote(CrashNote::Step::Cleared, CrashNote::Proof::None, "", run, aNow);
 }
 
-void CrashWatch::Record(CrashRecord aRecord, TimePoint aNow) {
-  aRecord.mId = StableHash(fmt::format("{}/{}", mOrigin, ++mLastRecord));
-  if (mLedger.Add(aRecord, aNow)) {
-    mNews.push_back(std::move(aRecord));
+void CrashWatch::Record(const std::string& aEndpoint, const LostRun& aRun,
+                        TimePoint aNow) {
+  const Duration sent = SinceEpoch(aRun.mSentAt);
+  const Duration ended = SinceEpoch(aRun.mEndedAt);
+  CrashRecord record;
+  record.mId = StableHash(fmt::format("{}/{}", mOrigin, ++mLastRecord));
+  record.mOrigin = mOrigin;
+  record.mOriginTime = ended;
+  record.mFingerprint = aRun.mFingerprint;
+  record.mEndpoint = aEndpoint;
+  record.mEndedAgo = SinceEpoch(aNow) - ended;
+  record.mRan = ended - sent;
+  if (mLedger.Add(record, aNow)) {
+    mNews.push_back(std::move(record));
   }
 }
 
@@ -203,8 +208,7 @@
   }
   AddNote(aRecord.IsAnswer() ? CrashNote::Step::Cleared : CrashNote::Step::Told,
           CrashNote::Proof::OtherHost, aRecord.mEndpoint,
-          LostRun{aRecord.mFingerprint, "", aNow - aRecord.mSentAgo, aNow},
-          aNow);
+          LostRun{aRecord.mFingerprint, "", aNow, aNow}, aNow);
   const auto suspicion = mSuspicions.find(aRecord.mEndpoint);
   if (suspicion != mSuspicions.end()) {
     Confirm(suspicion, CrashNote::Proof::OtherHost, false, aNow);
--- a/core/gateway/crash_watch.h
+++ b/core/gateway/crash_watch.h
@@ -151,7 +151,9 @@
                                CrashNote::Proof aProof, bool aAlsoSeenAlive,
                                TimePoint aNow);
   void Acquit(Suspicion& aSuspicion, TimePoint aAskedAt, TimePoint aNow);
-  void Record(CrashRecord aRecord, TimePoint aNow);
+  /** @param aEndpoint that has ended; empty if the run was answered. */
+  void Record(const std::string& aEndpoint, const LostRun& aRun,
+              TimePoint aNow);
   void AddNote(CrashNote::Step aStep, CrashNote::Proof aProof,
                const std::string& aEndpoint, const LostRun& aRun,
                TimePoint aNow);
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -74,6 +74,9 @@
   /** Names of hosts that did not answer the sender. */
   std::vector<std::string> mDoubts;
   std::vector<CrashRecord> mCrashes;
+  /** Equal on hosts that know the same of requests that crash endpoints;
+   * nothing from earlier programs. */
+  std::optional<std::uint64_t> mCrashDigest;
 };
 
 /** A message and where it goes. */
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -27,12 +27,15 @@
 constexpr std::size_t kWantsRosterField = 9;
 /** Where it says what the sender carries. */
 constexpr std::size_t kUseField = 10;
+/** Where it names what it knows of requests that crash endpoints. */
+constexpr std::size_t kCrashDigestField = 11;
 /** Where a full record says what its host can carry. */
 constexpr std::size_t kCapacityField = 9;
 
 /** Fields of a crash from earlier programs, which tell neither its name nor its
  * times. */
 constexpr std::size_t kCrashFieldsBefore = 2;
+constexpr Duration kMostOriginTime = std::chrono::hours(24 * 365 * 20);
 constexpr Duration kMostAgo = std::chrono::hours(24);
 
 /** A datagram no longer than this cannot nest so deep that reading it uses up
@@ -125,10 +128,11 @@
 
 Json RenderCrash(const CrashRecord& aRecord) {
   return Json::array({aRecord.mFingerprint, aRecord.mEndpoint, aRecord.mId,
-                      aRecord.mSentAgo.count(), aRecord.mEndedAgo.count()});
+                      aRecord.mEndedAgo.count(), aRecord.mRan.count(),
+                      aRecord.mOrigin, aRecord.mOriginTime.count()});
 }
 
-/** An age from another host, in microseconds. */
+/** An age or a length from another host, in microseconds. */
 Duration ParseAgo(const Json& aAgo) {
   return std::clamp(Duration(aAgo.get<std::int64_t>()), Duration::zero(),
                     kMostAgo);
@@ -141,11 +145,15 @@
   if (aCrash.size() == kCrashFieldsBefore) {
     record.mId =
         StableHash(fmt::format("{}/{}", record.mFingerprint, record.mEndpoint));
+    record.mOrigin = record.mId;
     return record;
   }
   record.mId = aCrash.at(2).get<std::uint64_t>();
-  record.mSentAgo = ParseAgo(aCrash.at(3));
-  record.mEndedAgo = ParseAgo(aCrash.at(4));
+  record.mEndedAgo = ParseAgo(aCrash.at(3));
+  record.mRan = ParseAgo(aCrash.at(4));
+  record.mOrigin = aCrash.at(5).get<std::uint64_t>();
+  record.mOriginTime = std::clamp(Duration(aCrash.at(6).get<std::int64_t>()),
+                                  Duration::zero(), kMostOriginTime);
   return record;
 }
 
@@ -194,7 +202,8 @@
                    aMessage.mView.mAsOf, RenderAge(aMessage.mView.mAge),
                    records, aMessage.mDoubts, crashes, aMessage.mWantsRoster,
                    Json::array({std::llround(aMessage.mUse.mRequests),
-                                std::llround(aMessage.mUse.mLinkBytes)})});
+                                std::llround(aMessage.mUse.mLinkBytes)}),
+                   aMessage.mCrashDigest.value_or(0)});
   std::string datagram;
   Json::to_msgpack(message, datagram);
   return datagram;
@@ -228,6 +237,9 @@
       const Json& use = parsed.at(kUseField);
       message.mUse = HostUse{Quantity(use.at(0)), Quantity(use.at(1))};
     }
+    if (parsed.size() > kCrashDigestField) {
+      message.mCrashDigest = parsed.at(kCrashDigestField).get<std::uint64_t>();
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/tests/core/test_crash_ledger.cpp
+++ b/tests/core/test_crash_ledger.cpp
@@ -26,12 +26,12 @@
 CrashRecord RecordOf(std::uint64_t aId, const Run& aRun, TimePoint aNow) {
   CrashRecord record;
   record.mId = aId;
+  record.mOrigin = aId;
   record.mFingerprint = kRequest;
   record.mEndpoint = aRun.mEndpoint;
-  record.mSentAgo = std::chrono::duration_cast<Duration>(
-      aNow - kStart - milliseconds(aRun.mSent));
   record.mEndedAgo = std::chrono::duration_cast<Duration>(
       aNow - kStart - milliseconds(aRun.mEnded));
+  record.mRan = milliseconds(aRun.mEnded - aRun.mSent);
   return record;
 }
 
@@ -81,9 +81,7 @@
   TimePoint now = kStart;
   std::vector<seconds> stops;
   for (std::uint64_t id = 1; id <= 6; ++id) {
-    ledger.Add(
-        CrashRecord{id, kRequest, "e", milliseconds(20), milliseconds(10)},
-        now);
+    ledger.Add(RecordOf(id, Run{"e", 0, 10}, kStart + milliseconds(20)), now);
     const Duration left = ledger.StopLeft(kRequest, now);
     stops.push_back(std::chrono::ceil<seconds>(left));
     now += left + milliseconds(20);
@@ -93,6 +91,23 @@
                                       seconds(960)});
 }
 
+// Guards against a stop that other hosts do not see, since the second of two
+// records came sooner than the first.
+TEST_CASE("crash ledger: the order of one host's records survives the way") {
+  for (const int delay : {0, 4, 400}) {
+    CAPTURE(delay);
+    CrashRecord first = RecordOf(1, Run{"a", 0, 20}, kStart + seconds(1));
+    CrashRecord second = RecordOf(2, Run{"b", 20, 30}, kStart + seconds(1));
+    second.mOrigin = first.mOrigin;
+    first.mOriginTime = milliseconds(20);
+    second.mOriginTime = milliseconds(30);
+    CrashLedger ledger;
+    ledger.Add(first, kStart + seconds(1) + milliseconds(delay));
+    ledger.Add(second, kStart + seconds(1));
+    CHECK(ledger.Crashes(kRequest, kStart + seconds(2)) == 2);
+  }
+}
+
 TEST_CASE("crash ledger: hosts that hear the same in any order agree") {
   const bool held = rc::check("orders", [] {
     const auto count = *rc::gen::inRange<std::size_t>(1, 12);
@@ -140,16 +155,18 @@
   constexpr std::uint64_t kMany = 10'000;
   constexpr std::size_t kMost = 4096;
   for (std::uint64_t id = 1; id <= kMany; ++id) {
-    ledger.Add(CrashRecord{id, id, "e", milliseconds(20), milliseconds(10)},
+    ledger.Add(CrashRecord{id, id, Duration(0), id, "e", milliseconds(10),
+                           milliseconds(10)},
                kStart);
-    ledger.Add(CrashRecord{kMany + id, kRequest, "e", milliseconds(id + 1),
-                           milliseconds(id)},
+    ledger.Add(CrashRecord{kMany + id, kMany + id, Duration(0), kRequest, "e",
+                           milliseconds(id), milliseconds(1)},
                kStart + milliseconds(kMany));
   }
   CHECK(ledger.Size() <= kMost);
   CHECK(ledger.StopLeft(kRequest, kStart) > Duration::zero());
-  CHECK_FALSE(
-      ledger.Add(CrashRecord{1, 5, "e", seconds(3700), seconds(3690)}, kStart));
+  CHECK_FALSE(ledger.Add(
+      CrashRecord{1, 1, Duration(0), 5, "e", seconds(3690), seconds(10)},
+      kStart));
 }
 
 }  // namespace
--- a/tests/core/test_crash_watch.cpp
+++ b/tests/core/test_crash_watch.cpp
@@ -35,7 +35,8 @@
 
 CrashRecord Told(std::uint64_t aId, const std::string& aEndpoint,
                  milliseconds aSentAgo, milliseconds aEndedAgo) {
-  return CrashRecord{aId, 7, aEndpoint, aSentAgo, aEndedAgo};
+  return CrashRecord{aId,       aId,       Duration(0),         7,
+                     aEndpoint, aEndedAgo, aSentAgo - aEndedAgo};
 }
 
 TEST_CASE("crash watch: a request stops after it has crashed two endpoints") {
@@ -150,6 +151,23 @@
   }
 }
 
+// Guards against a second crash that counts as one with the first, since times
+// were rounded at different moments.
+TEST_CASE(
+    "crash watch: a repeat begins no sooner than the first attempt ends") {
+  constexpr std::chrono::nanoseconds kOdd{1337};
+  for (int step = 0; step < 20; ++step) {
+    CrashWatch watch(1);
+    const TimePoint first = kStart + kOdd * step;
+    const TimePoint second = first + milliseconds(2) + kOdd;
+    watch.NoteLost(Endpoint("a"), LostRun{7, "r", kStart, first}, first);
+    watch.NoteLost(Endpoint("b"), LostRun{7, "r", first, second}, second);
+    See(watch, "a", EndpointSight::Nobody, second + kOdd * 7);
+    See(watch, "b", EndpointSight::Nobody, second + kOdd * 11);
+    CHECK(watch.IsStopped(7, second + milliseconds(1)));
+  }
+}
+
 TEST_CASE("crash watch: an endpoint that gives no word is asked again") {
   CrashWatch watch(1);
   Lose(watch, "a", kStart);
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -544,10 +544,20 @@
   GatewayHarness harness(3);
   const CallId waiting = harness.AskFor(GatewayHarness::kSafeHost, "/bad");
   REQUIRE(harness.Running().empty());
-  const CrashRecord first{1, harness.FingerprintOf(waiting), "x1",
-                          milliseconds(40), milliseconds(30)};
-  const CrashRecord second{2, harness.FingerprintOf(waiting), "x2",
-                           milliseconds(20), milliseconds(10)};
+  const CrashRecord first{1,
+                          1,
+                          Duration(0),
+                          harness.FingerprintOf(waiting),
+                          "x1",
+                          milliseconds(30),
+                          milliseconds(10)};
+  const CrashRecord second{2,
+                           2,
+                           Duration(0),
+                           harness.FingerprintOf(waiting),
+                           "x2",
+                           milliseconds(10),
+                           milliseconds(10)};
   harness.Engine().NoteRemoteCrash(first, harness.Time().Now());
   harness.Engine().NoteRemoteCrash(second, harness.Time().Now());
   Settle(harness);
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -206,8 +206,10 @@
   brief.mVersion = 1;
   message.mRecords = {message.mSender, brief};
   message.mDoubts = {"h3"};
-  message.mCrashes = {CrashRecord{7, 0xfedcba9876543210ULL, "i-1",
-                                  milliseconds(90), milliseconds(20)}};
+  message.mCrashes = {CrashRecord{7, 5, milliseconds(800),
+                                  0xfedcba9876543210ULL, "i-1",
+                                  milliseconds(20), milliseconds(70)}};
+  message.mCrashDigest = 99;
   message.mWantsRoster = true;
   message.mSender.mCapacity = HostCapacity{0.5, 25e6};
   message.mUse = HostUse{120, 3e6};
@@ -220,6 +222,9 @@
   CHECK(decoded->mSender.mState == MemberState::Leaving);
   CHECK(decoded->mSender.mCapacity.mLinkBytes == 25e6);
   CHECK(decoded->mUse.mRequests == 120);
+  CHECK(decoded->mCrashDigest == 99);
+  CHECK(decoded->mCrashes[0].mEndedAgo == milliseconds(20));
+  CHECK(decoded->mCrashes[0].mOriginTime == milliseconds(800));
   for (std::size_t size = 0; size < datagram.size(); ++size) {
     CHECK_FALSE(DecodeGossip(datagram.substr(0, size)));
   }
@@ -227,11 +232,21 @@
   auto earlier = nlohmann::json::from_msgpack(datagram);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
   std::string fromEarlier;
   nlohmann::json::to_msgpack(earlier, fromEarlier);
   const auto decodedEarlier = DecodeGossip(fromEarlier);
   REQUIRE(decodedEarlier);
   CHECK_FALSE(decodedEarlier->mWantsRoster);
+  CHECK_FALSE(decodedEarlier->mCrashDigest);
+  // They name a crash by its request and endpoint only.
+  earlier[8] = {{0xfedcba9876543210ULL, "i-1"}};
+  fromEarlier.clear();
+  nlohmann::json::to_msgpack(earlier, fromEarlier);
+  const auto briefCrash = DecodeGossip(fromEarlier);
+  REQUIRE(briefCrash);
+  CHECK(briefCrash->mCrashes[0].mEndpoint == "i-1");
+  CHECK(briefCrash->mCrashes[0].mId != 0);
   ViewTransfer transfer;
   transfer.mDelta =
       StoreDelta{true, 12, {{"a", 3, "x"}, {"b", 4, std::nullopt}}, {{5, 9}}};
