Heartbeats of the first interface tell of quarantines

Shown by crashing_request, extended by a host that is killed and started anew: two more endpoints fell once it used shares of its own (sooner it passes calls on to hosts that know). Change: each heartbeat and its answer name the quarantines that last longer than 5 s yet. Also counters of the steps in telling whether requests crash endpoints, on the gateway's metrics page.

--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -252,6 +252,17 @@
   }
 }
 
+void CallEngine::NoteQuarantines(const std::vector<Quarantine>& aQuarantines,
+                                 TimePoint aNow) {
+  for (const Quarantine& quarantine : aQuarantines) {
+    if (mCrashGuard.Adopt(quarantine, aNow)) {
+      mQuarantineEvents.push_back(
+          fmt::format("started for request {:016x}, told by a heartbeat",
+                      quarantine.mFingerprint));
+    }
+  }
+}
+
 std::vector<CrashReport> CallEngine::TakeCrashReports() {
   return std::exchange(mCrashReports, {});
 }
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -97,6 +97,14 @@
   /** Another host saw an endpoint crash or a suspect answered. */
   void NoteRemoteCrash(const CrashReport& aReport, TimePoint aNow);
 
+  /** Requests that are quarantined, for each heartbeat: a report is told once,
+   * and hosts that start or were cut off have not heard it. */
+  [[nodiscard]] std::vector<Quarantine> Quarantines(TimePoint aNow) const {
+    return mCrashGuard.Quarantines(aNow);
+  }
+  void NoteQuarantines(const std::vector<Quarantine>& aQuarantines,
+                       TimePoint aNow);
+
   /** Crashes seen here since the last call, to be told to the other hosts. */
   std::vector<CrashReport> TakeCrashReports();
 
--- a/core/membership/heartbeat.cpp
+++ b/core/membership/heartbeat.cpp
@@ -7,7 +7,13 @@
 using Json = nlohmann::json;
 
 std::string WriteHeartbeat(const Heartbeat& aHeartbeat) {
-  return Json{{"host", aHeartbeat.mHost},
+  Json quarantines = Json::array();
+  for (const Quarantine& quarantine : aHeartbeat.mQuarantines) {
+    quarantines.push_back(
+        Json::array({quarantine.mFingerprint, quarantine.mLeft.count()}));
+  }
+  return Json{{"quarantines", quarantines},
+              {"host", aHeartbeat.mHost},
               {"incarnation", aHeartbeat.mIncarnation},
               {"uptime_ms", aHeartbeat.mUptime.count()},
               {"revision", aHeartbeat.mRevision},
@@ -37,6 +43,12 @@
     heartbeat.mReady = value.at("ready").get<bool>();
     heartbeat.mLeaving = value.at("leaving").get<bool>();
     heartbeat.mInFlight = value.at("in_flight").get<std::uint32_t>();
+    // Earlier programs tell of none.
+    for (const Json& item : value.value("quarantines", Json::array())) {
+      heartbeat.mQuarantines.push_back(Quarantine{
+          item.at(0).get<std::uint64_t>(),
+          std::chrono::milliseconds(item.at(1).get<std::int64_t>())});
+    }
     return heartbeat;
   } catch (const Json::exception&) {
     return std::nullopt;
--- a/core/membership/heartbeat.h
+++ b/core/membership/heartbeat.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/limits/share_ledger.h"
+#include "core/routing/crash_guard.h"
 
 namespace papayawheel {
 
@@ -26,6 +28,8 @@
   bool mLeaving = false;
   /** Calls in flight. */
   std::uint32_t mInFlight = 0;
+  /** Requests that crash endpoints and must not be sent. */
+  std::vector<Quarantine> mQuarantines;
 
   bool operator==(const Heartbeat&) const = default;
 };
--- a/core/routing/crash_guard.cpp
+++ b/core/routing/crash_guard.cpp
@@ -1,6 +1,17 @@
 #include "core/routing/crash_guard.h"
 
+#include <algorithm>
+
 namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+
+/** Quarantines are not told in their last part: a host where they have ended
+ * already would take them for new. */
+constexpr std::chrono::seconds kUntoldTime{5};
+
+}  // namespace
 
 bool CrashGuard::Note(const CrashReport& aReport, TimePoint aNow) {
   if (aReport.mCleared) {
@@ -42,6 +53,31 @@
   return std::chrono::duration_cast<Duration>(found->second.mExpires - aNow);
 }
 
+std::vector<Quarantine> CrashGuard::Quarantines(TimePoint aNow) const {
+  std::vector<Quarantine> quarantines;
+  for (const auto& [fingerprint, suspect] : mSuspects) {
+    const auto left =
+        std::chrono::duration_cast<milliseconds>(Remaining(fingerprint, aNow));
+    if (left > kUntoldTime) {
+      quarantines.push_back(Quarantine{fingerprint, left});
+    }
+  }
+  return quarantines;
+}
+
+bool CrashGuard::Adopt(const Quarantine& aQuarantine, TimePoint aNow) {
+  const bool known =
+      Remaining(aQuarantine.mFingerprint, aNow) > Duration::zero();
+  if (known || aQuarantine.mLeft <= kUntoldTime) {
+    return false;
+  }
+  Suspect& suspect = mSuspects[aQuarantine.mFingerprint];
+  suspect.mCrashes = kCrashesToQuarantine;
+  suspect.mExpires =
+      aNow + std::min<milliseconds>(aQuarantine.mLeft, kQuarantineTime);
+  return true;
+}
+
 std::vector<std::uint64_t> CrashGuard::Tick(TimePoint aNow) {
   std::vector<std::uint64_t> ended;
   for (auto it = mSuspects.begin(); it != mSuspects.end();) {
--- a/core/routing/crash_guard.h
+++ b/core/routing/crash_guard.h
@@ -27,6 +27,14 @@
   bool mCleared = false;
 };
 
+/** A request that is quarantined, as hosts tell each other. */
+struct Quarantine {
+  std::uint64_t mFingerprint = 0;
+  std::chrono::milliseconds mLeft{0};
+
+  bool operator==(const Quarantine&) const = default;
+};
+
 /** Recognises requests that crash the endpoints that run them. */
 class CrashGuard {
  public:
@@ -47,6 +55,13 @@
   [[nodiscard]] Duration Remaining(std::uint64_t aFingerprint,
                                    TimePoint aNow) const;
 
+  /** The quarantines that other hosts must know of. */
+  [[nodiscard]] std::vector<Quarantine> Quarantines(TimePoint aNow) const;
+
+  /** Another host told of a quarantine. Returns true if this starts one here.
+   */
+  bool Adopt(const Quarantine& aQuarantine, TimePoint aNow);
+
   /** Forgets what has expired; returns the quarantines that ended. */
   std::vector<std::uint64_t> Tick(TimePoint aNow);
 
--- a/servers/control_api.cpp
+++ b/servers/control_api.cpp
@@ -310,6 +310,9 @@
   }
   const TimePoint now = mWorker.Now();
   mWorker.mEngine.NoteBytes(aExchange.Body().size() * 4, now);
+  mWorker.mState.WithEngine([&](CallEngine& aEngine) {
+    aEngine.NoteQuarantines(heartbeat->mQuarantines, now);
+  });
   mWorker.Perform(mWorker.mEngine.HeartbeatArrived(*heartbeat, now));
   HttpReply reply;
   reply.mBody = WriteHeartbeat(mWorker.OwnHeartbeat());
--- a/servers/control_worker.cpp
+++ b/servers/control_worker.cpp
@@ -176,6 +176,7 @@
       mState.WithEngine([&](CallEngine& aEngine) {
         aEngine.Ledger().HostReported(answer->mHost, answer->mLedger, sentAt,
                                       now);
+        aEngine.NoteQuarantines(answer->mQuarantines, now);
       });
       Perform(mEngine.HeartbeatAnswered(aAction, *answer, sentAt, now));
     } else if (aResult.mKind == HttpResultKind::Refused) {
@@ -270,6 +271,7 @@
     heartbeat.mLedger = aEngine.Ledger().Report(now);
     heartbeat.mReady = aEngine.IsReady(now);
     heartbeat.mInFlight = static_cast<std::uint32_t>(aEngine.InFlight());
+    heartbeat.mQuarantines = aEngine.Quarantines(now);
   });
   return heartbeat;
 }
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -119,6 +119,8 @@
   /** By attempt, and by question for a load. */
   Requests mSending;
   Requests mProbing;
+  /** How often each step towards the proof of a crash was taken. */
+  std::map<CrashNote::Step, std::uint64_t> mCrashSteps;
   CallId mLastCall = 0;
   bool mLeaving = false;
   bool mDone = false;
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -56,6 +56,7 @@
 
 void GatewayTraffic::LogCrashNotes() {
   for (const CrashNote& note : mEngine.TakeCrashNotes()) {
+    ++mCrashSteps[note.mStep];
     Log(LogLevel::Info, "crash_note",
         {{"step", CrashStepName(note.mStep)},
          {"proof", CrashProofName(note.mProof)},
@@ -91,6 +92,11 @@
           "errors_" + std::string(AnswerOf(kind).mName) + "_total",
           std::string(AnswerOf(kind).mMessage), count);
     }
+    for (const auto& [step, count] : mCrashSteps) {
+      text += RenderCounter(
+          fmt::format("crash_notes_{}_total", CrashStepName(step)),
+          "Steps in telling whether requests crash endpoints.", count);
+    }
     rendered.set_value(std::move(text));
   });
   return rendered.get_future().get();
--- a/tests/process/crashing_request.sh
+++ b/tests/process/crashing_request.sh
@@ -20,3 +20,22 @@
 load others 2000 --rate 100 --seed 3
 expect "other requests are answered" \
   [ "$(field others answered)" -eq "$(field others sent)" ]
+
+# Guards against a host that starts after the quarantine was told, knows nothing
+# of it and sends the request again.
+kill -KILL "${pid_of[a1]}"
+start_entry a1 dc1 "${addresses[0]}"
+wait_for 20 is_ready "${addresses[0]}"
+wait_for 20 is_settled "${addresses[0]}"
+# It uses shares of its own once the calls of its predecessor must have ended.
+sleep 6
+for round in 1 2 3 4 5 6; do
+  curl -sS --max-time 5 -H 'papayawheel-customer: roofers' \
+    -H 'papayawheel-service: orders' "http://${addresses[0]}/work?crash=1" || true
+  echo
+done
+again=0
+for n in 0 1 2 3 4 5; do
+  kill -0 "${pid_of[e$n]}" 2>/dev/null || again=$((again + 1))
+done
+expect "a host that starts knows of it ($again fell)" [ "$again" -eq "$fallen" ]
