--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -107,6 +107,11 @@
                 const std::optional<LoadSample>& aSample, Duration aWork,
                 TimePoint aSentAt, TimePoint aNow);
 
+  /** What is published of an endpoint that was picked. */
+  [[nodiscard]] const EndpointEntry& EntryOf(const std::string& aId) const {
+    return mEndpoints.at(aId).mEntry;
+  }
+
   /** Whether an endpoint is about to end, by what is published of it or by its
    * own word. */
   [[nodiscard]] bool IsLeaving(const std::string& aId) const;
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -41,10 +41,6 @@
 /** A second endpoint is asked after this many times the expected time. */
 constexpr double kHedgeAfter = 1.6;
 
-/** An endpoint that was silent for this many times the expected time when its
- * call ended may have ended itself. */
-constexpr double kLongSilence = 2;
-
 /** Part of the retry budget that is kept for requests that have failed. */
 constexpr double kHedgeReserve = 0.4;
 
@@ -159,26 +155,6 @@
   }
 }
 
-std::optional<EndpointPool::Choice> GatewayEngine::Choose(
-    const ServiceState& aService, const Call& aCall, TimePoint aNow) const {
-  const Duration work = WorkOf(aCall.mRoute);
-  const auto choice = aService.mPool.Pick(AvoidedBy(aCall, aNow), work, aNow);
-  return choice ? choice : aService.mPool.Pick(aCall.mAvoided, work, aNow);
-}
-
-std::vector<std::string> GatewayEngine::AvoidedBy(const Call& aCall,
-                                                  TimePoint aNow) const {
-  std::vector<std::string> avoided = aCall.mAvoided;
-  if (aCall.mIsSuspect || mCrashes.IsSuspect(aCall.mFingerprint, aNow)) {
-    for (const auto& [id, attempt] : mAttempts) {
-      if (attempt.mIsSuspect) {
-        avoided.push_back(attempt.mEndpoint);
-      }
-    }
-  }
-  return avoided;
-}
-
 std::string_view GatewayEngine::HealthPath(const std::string& aService) const {
   const auto& services = mView->mRoutes->Source().mServices;
   const auto terms = services.find(aService);
@@ -236,44 +212,6 @@
       StartProbe{probe, aEndpoint, aAddress, std::string(aHealthPath)});
 }
 
-void GatewayEngine::Suspect(Call& aCall, const Attempt& aAttempt,
-                            TimePoint aNow) {
-  const EndpointPool& pool = ServiceOf(aCall.mService).mPool;
-  if (aAttempt.mEndpointLeaves || pool.IsLeaving(aAttempt.mEndpoint)) {
-    // It ends by itself.
-    return;
-  }
-  aCall.mIsSuspect = true;
-  mCrashes.NoteLost(aAttempt.mEntry,
-                    LostRun{aCall.mFingerprint, aCall.mRequest.mRequestId,
-                            aAttempt.mSentAt, aNow},
-                    aNow);
-  // It may be known by now to have ended.
-  mCrashes.NotePublished(*mView->mEndpoints, aNow);
-}
-
-void GatewayEngine::SuspectSilent(Call& aCall, TimePoint aNow) {
-  for (const AttemptId running : aCall.mRunning) {
-    const Attempt& attempt = mAttempts.at(running);
-    if (aNow - attempt.mSentAt > Scaled(attempt.mExpected, kLongSilence)) {
-      Suspect(aCall, attempt, aNow);
-    }
-  }
-}
-
-void GatewayEngine::AskSuspects(TimePoint aNow, GatewayActions& aActions) {
-  for (const CrashWatch::Question& question : mCrashes.TakeQuestions(aNow)) {
-    const std::string_view healthPath = HealthPath(question.mService);
-    if (!healthPath.empty()) {
-      ServiceOf(question.mService).mProbeBudget.Charge(aNow);
-      SendProbe(question.mService, question.mEndpoint, question.mAddress,
-                healthPath, aNow, aActions);
-      mProbes.at(mLastProbe).mIsCheck = true;
-    }
-    mTimers.emplace(*mCrashes.NextQuestion(), Timer{TimerKind::Check});
-  }
-}
-
 GatewayActions GatewayEngine::ProbeEnded(ProbeId aId, const ProbeReply& aReply,
                                          TimePoint aNow) {
   GatewayActions actions;
@@ -356,7 +294,7 @@
   started.mSentAt = aNow;
   started.mExpected = aChoice.mExpected;
   started.mSlowdown = aChoice.mSlowdown;
-  started.mEntry = mView->mEndpoints->at(aChoice.mId);
+  started.mEntry = ServiceOf(aCall.mService).mPool.EntryOf(aChoice.mId);
   started.mIsSuspect =
       aCall.mIsSuspect || mCrashes.IsSuspect(aCall.mFingerprint, aNow);
   aCall.mRunning.push_back(attempt);
--- /dev/null
+++ b/core/gateway/gateway_suspects.cpp
@@ -0,0 +1,73 @@
+// The part of GatewayEngine that watches for requests that crash endpoints.
+
+#include "core/base/scaled.h"
+#include "core/gateway/gateway_engine.h"
+
+namespace papayawheel {
+namespace {
+
+/** An endpoint that was silent for this many times the expected time when its
+ * call ended may have ended itself. */
+constexpr double kLongSilence = 2;
+
+}  // namespace
+
+std::optional<EndpointPool::Choice> GatewayEngine::Choose(
+    const ServiceState& aService, const Call& aCall, TimePoint aNow) const {
+  const Duration work = WorkOf(aCall.mRoute);
+  const auto choice = aService.mPool.Pick(AvoidedBy(aCall, aNow), work, aNow);
+  return choice ? choice : aService.mPool.Pick(aCall.mAvoided, work, aNow);
+}
+
+std::vector<std::string> GatewayEngine::AvoidedBy(const Call& aCall,
+                                                  TimePoint aNow) const {
+  std::vector<std::string> avoided = aCall.mAvoided;
+  if (aCall.mIsSuspect || mCrashes.IsSuspect(aCall.mFingerprint, aNow)) {
+    for (const auto& [id, attempt] : mAttempts) {
+      if (attempt.mIsSuspect) {
+        avoided.push_back(attempt.mEndpoint);
+      }
+    }
+  }
+  return avoided;
+}
+
+void GatewayEngine::Suspect(Call& aCall, const Attempt& aAttempt,
+                            TimePoint aNow) {
+  const EndpointPool& pool = ServiceOf(aCall.mService).mPool;
+  if (aAttempt.mEndpointLeaves || pool.IsLeaving(aAttempt.mEndpoint)) {
+    // It ends by itself.
+    return;
+  }
+  aCall.mIsSuspect = true;
+  mCrashes.NoteLost(aAttempt.mEntry,
+                    LostRun{aCall.mFingerprint, aCall.mRequest.mRequestId,
+                            aAttempt.mSentAt, aNow},
+                    aNow);
+  // It may be known by now to have ended.
+  mCrashes.NotePublished(*mView->mEndpoints, aNow);
+}
+
+void GatewayEngine::SuspectSilent(Call& aCall, TimePoint aNow) {
+  for (const AttemptId running : aCall.mRunning) {
+    const Attempt& attempt = mAttempts.at(running);
+    if (aNow - attempt.mSentAt > Scaled(attempt.mExpected, kLongSilence)) {
+      Suspect(aCall, attempt, aNow);
+    }
+  }
+}
+
+void GatewayEngine::AskSuspects(TimePoint aNow, GatewayActions& aActions) {
+  for (const CrashWatch::Question& question : mCrashes.TakeQuestions(aNow)) {
+    const std::string_view healthPath = HealthPath(question.mService);
+    if (!healthPath.empty()) {
+      ServiceOf(question.mService).mProbeBudget.Charge(aNow);
+      SendProbe(question.mService, question.mEndpoint, question.mAddress,
+                healthPath, aNow, aActions);
+      mProbes.at(mLastProbe).mIsCheck = true;
+    }
+    mTimers.emplace(*mCrashes.NextQuestion(), Timer{TimerKind::Check});
+  }
+}
+
+}  // namespace papayawheel
--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -196,9 +196,7 @@
           [&traffic](std::vector<MemberRecord> aMembers, std::size_t aKnown) {
             traffic->SetMembers(std::move(aMembers), aKnown);
           },
-          [&traffic](const CrashRecord& aCrash) {
-            traffic->NoteCrash(aCrash);
-          },
+          [&traffic](const CrashRecord& aCrash) { traffic->NoteCrash(aCrash); },
           [&traffic] { return traffic->RenderMetrics(); }});
   const pthread_t mainThread = pthread_self();
   GatewayTraffic serving(
--- /dev/null
+++ b/tests/core/test_gateway_crashes.cpp
@@ -0,0 +1,159 @@
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/core/gateway_harness.h"
+
+namespace papayawheel {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** Runs until each call that waits was sent or given up; the endpoints that
+ * have not fallen tell their load. */
+void Settle(GatewayHarness& aHarness) {
+  for (int round = 0; round < 6; ++round) {
+    aHarness.AnswerProbes(true);
+    aHarness.Advance(milliseconds(15));
+  }
+}
+
+/** Endpoints at which a call runs now. */
+std::vector<std::string> EndpointsOf(const GatewayHarness& aHarness,
+                                     CallId aCall) {
+  std::vector<std::string> endpoints;
+  for (const AttemptId running : aHarness.Running()) {
+    const auto& attempt = aHarness.Attempts().at(running);
+    if (attempt.mCall == aCall) {
+      endpoints.push_back(attempt.mEndpoint);
+    }
+  }
+  return endpoints;
+}
+
+// Guards against a request that is sent to one endpoint after the other as
+// often as its caller comes again, though each ended with it (BUDGET).
+TEST_CASE("gateway: the second crash stops a request") {
+  for (const char* const host :
+       {GatewayHarness::kSafeHost, GatewayHarness::kOnceHost}) {
+    CAPTURE(std::string(host));
+    GatewayHarness harness(12);
+    std::size_t fell = 0;
+    CallId last = 0;
+    for (int round = 0; round < 10; ++round) {
+      last = harness.AskFor(host, "/bad");
+      Settle(harness);
+      while (!harness.Running().empty()) {
+        harness.Crash(
+            {harness.Attempts().at(harness.Running().front()).mEndpoint});
+        ++fell;
+        Settle(harness);
+      }
+      const CallId other =
+          harness.AskFor(host, "/good" + std::to_string(round));
+      Settle(harness);
+      CHECK(harness.Running().size() == 1);
+      harness.End(0, AttemptResult::Answered);
+      CHECK(harness.Answers().at(other).mResponse != nullptr);
+      harness.Advance(seconds(1));
+    }
+    CHECK(fell == 2);
+    const GatewayAnswer& answer = harness.Answers().at(last);
+    CHECK(answer.mError == ErrorKind::Quarantined);
+    CHECK(answer.mRetryAfter > seconds(40));
+  }
+}
+
+// Guards against a request that waits in a queue when it turns out that those
+// like it crash endpoints, and is sent all the same.
+TEST_CASE("gateway: a request that is stopped while it waits is not sent") {
+  GatewayHarness harness(3);
+  const CallId waiting = harness.AskFor(GatewayHarness::kSafeHost, "/bad");
+  REQUIRE(harness.Running().empty());
+  const CrashRecord first{1,
+                          1,
+                          Duration(0),
+                          harness.FingerprintOf(waiting),
+                          "x1",
+                          milliseconds(30),
+                          milliseconds(10)};
+  const CrashRecord second{2,
+                           2,
+                           Duration(0),
+                           harness.FingerprintOf(waiting),
+                           "x2",
+                           milliseconds(10),
+                           milliseconds(10)};
+  harness.Engine().NoteRemoteCrash(first, harness.Time().Now());
+  harness.Engine().NoteRemoteCrash(second, harness.Time().Now());
+  Settle(harness);
+  CHECK(harness.Attempts().empty());
+  CHECK(harness.Answers().at(waiting).mError == ErrorKind::Quarantined);
+}
+
+// Guards against requests that are refused for a minute since endpoints fell
+// beneath them for another reason.
+TEST_CASE("gateway: requests on endpoints that fell are not stopped") {
+  constexpr std::size_t kCalls = 20;
+  GatewayHarness harness(8);
+  std::vector<std::string> targets;
+  for (std::size_t call = 0; call < kCalls; ++call) {
+    targets.push_back("/" + std::to_string(call));
+    harness.AskFor(GatewayHarness::kSafeHost, targets.back());
+  }
+  Settle(harness);
+  // Long enough for hedges.
+  harness.Advance(milliseconds(250));
+  Settle(harness);
+  harness.Crash({"e0", "e1", "e2"});
+  Settle(harness);
+  std::size_t suspects = 0;
+  for (const CrashNote& note : harness.Engine().TakeCrashNotes()) {
+    suspects += note.mStep == CrashNote::Step::Confirmed ? 1 : 0;
+  }
+  CHECK(suspects > 0);
+  for (const std::string& target : targets) {
+    const CallId again = harness.AskFor(GatewayHarness::kSafeHost, target);
+    Settle(harness);
+    const auto answer = harness.Answers().find(again);
+    const bool stopped = answer != harness.Answers().end() &&
+                         answer->second.mError == ErrorKind::Quarantined;
+    CHECK_FALSE(stopped);
+  }
+}
+
+// Guards against requests that are refused since they were sent on to the same
+// endpoint as the one that crashes what runs it.
+TEST_CASE("gateway: requests that lost an endpoint are kept apart") {
+  GatewayHarness harness(6);
+  std::vector<CallId> calls;
+  while (calls.size() < 12) {
+    calls.push_back(harness.Ask(true));
+  }
+  Settle(harness);
+  const std::string fallen = EndpointsOf(harness, calls.front()).front();
+  std::vector<CallId> lost;
+  for (const CallId call : calls) {
+    const auto endpoints = EndpointsOf(harness, call);
+    if (endpoints == std::vector<std::string>{fallen}) {
+      lost.push_back(call);
+    }
+  }
+  REQUIRE(lost.size() >= 2);
+  harness.Crash({fallen});
+  Settle(harness);
+  std::set<std::string> now;
+  for (const CallId call : lost) {
+    for (const std::string& endpoint : EndpointsOf(harness, call)) {
+      CHECK(now.insert(endpoint).second);
+    }
+  }
+  CHECK(now.size() >= std::min<std::size_t>(lost.size(), 5));
+}
+
+}  // namespace
+}  // namespace papayawheel
