What is told of single crashes is dropped when it no longer counts

Read again: the copy that gossip keeps of records dropped them only when it was full, and each message looked through all of them.

--- a/core/gateway/crash_ledger.cpp
+++ b/core/gateway/crash_ledger.cpp
@@ -162,14 +162,18 @@
   });
 }
 
-void CrashLedger::MakeRoom(TimePoint aNow) {
-  if (mEntries.size() < kMostRequests) {
-    return;
-  }
+void CrashLedger::Forget(TimePoint aNow) {
   for (auto it = mEntries.begin(); it != mEntries.end();) {
     Expire(it->second, aNow);
     it = it->second.empty() ? mEntries.erase(it) : std::next(it);
   }
+}
+
+void CrashLedger::MakeRoom(TimePoint aNow) {
+  if (mEntries.size() < kMostRequests) {
+    return;
+  }
+  Forget(aNow);
   if (mEntries.size() < kMostRequests) {
     return;
   }
--- a/core/gateway/crash_ledger.h
+++ b/core/gateway/crash_ledger.h
@@ -40,6 +40,9 @@
   /** Equal on hosts that share the same records; 0 if there are none. */
   [[nodiscard]] std::uint64_t Digest(TimePoint aNow) const;
 
+  /** Drops what is too old to count. */
+  void Forget(TimePoint aNow);
+
   /** Requests of which something is known. */
   [[nodiscard]] std::size_t Size() const { return mEntries.size(); }
 
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -123,6 +123,7 @@
     mNextPeriod = aNow + kPeriod;
     PingSome(aNow, datagrams);
     Forget(aNow);
+    mCrashes.Forget(aNow);
   }
   return datagrams;
 }
