CONFIG: logs and metrics that tell the three hypotheses apart

A stale host could not be told from one whose view was confirmed on silence (store_answered with the revision that the answer covers), a view that skipped a change not from one that lags (pull_without_change, as_of on view_changed), and a control thread that is held up not from one that was told late (control_late, and the counts of datagrams, pulls, deltas and full copies on /metrics). No decision changed; the gateway builds.

--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -21,6 +21,10 @@
 
 using std::chrono::milliseconds;
 
+/** An iteration counts as late if it follows the last one after more than
+ * kMaxIterationInterval and this. */
+constexpr milliseconds kMaxLateness{200};
+
 std::uint64_t NewIncarnation(const Clock& aClock) {
   // Unique for each start: a host does not restart within one millisecond.
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
@@ -137,6 +141,7 @@
   const TimePoint now = mClock.Now();
   const auto gap = std::chrono::duration_cast<Duration>(now - mLastIteration);
   mLastIteration = now;
+  NoteIterationGap(gap);
   if (gap > kSuspensionThreshold) {
     HandleSuspension(gap);
   }
@@ -153,6 +158,20 @@
   ScheduleIteration();
 }
 
+void GatewayControl::NoteIterationGap(Duration aGap) {
+  if (aGap <= kMaxIterationInterval + kMaxLateness) {
+    return;
+  }
+  ++mCounts.mLateIterations;
+  Log(LogLevel::Warning, "control_late",
+      {{"gap_us", aGap.count()},
+       {"datagrams_received", mCounts.mDatagramsReceived},
+       {"pulls", mCounts.mPulls},
+       {"deltas_served", mCounts.mDeltasServed},
+       {"copies_served", mCounts.mCopiesServed},
+       {"pulls_refused", mCounts.mPullsRefused}});
+}
+
 void GatewayControl::ScheduleIteration() {
   const TimePoint now = mClock.Now();
   TimePoint due = std::min(mGossip.NextDue(), mSynchronizer.NextDue(now));
@@ -211,6 +230,7 @@
     if (!address || error) {
       continue;
     }
+    ++mCounts.mDatagramsSent;
     // Errors are ignored: gossip tolerates lost datagrams.
     mSocket.send_to(asio::buffer(EncodeGossip(datagram.mMessage)),
                     asio::ip::udp::endpoint(ip, address->mPort), 0, error);
@@ -231,6 +251,7 @@
         if (aError) {
           return;
         }
+        ++mCounts.mDatagramsReceived;
         if (const auto message = DecodeGossip(datagram)) {
           HandleMessage(*message);
         } else {
@@ -302,6 +323,7 @@
   }
   Log(LogLevel::Info, "view_changed",
       {{"revision", mSynchronizer.View().Newest()},
+       {"as_of", mSynchronizer.View().AsOf()},
        {"changes", aChanges.size()},
        {"source", aSource}});
   PublishView();
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -16,6 +16,7 @@
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "platform/store_protocol.h"
+#include "servers/control_counts.h"
 #include "servers/gateway_settings.h"
 
 namespace papayawheel {
@@ -66,6 +67,9 @@
 
  private:
   void RunIteration();
+  /** Counts and logs an iteration that ran late.
+   * @param aGap time since the last iteration. */
+  void NoteIterationGap(Duration aGap);
   void ScheduleIteration();
   /** Runs an iteration when the timer expires. */
   void AwaitIteration();
@@ -131,6 +135,7 @@
   /** The read or watch of the store under way; 0 if there is none. */
   HttpClient::Id mStoreCall = 0;
   TimePoint mLastIteration;
+  ControlCounts mCounts;
   std::string mLastError;
 };
 
--- a/servers/gateway_control_api.cpp
+++ b/servers/gateway_control_api.cpp
@@ -24,15 +24,17 @@
     const auto delta =
         mSynchronizer.ServePull(QueryNumber(aExchange->Target(), "after"), now);
     if (delta) {
+      ++(delta->mFull ? mCounts.mCopiesServed : mCounts.mDeltasServed);
       reply.mBody =
           EncodeView(ViewTransfer{*delta, mSynchronizer.Summary(now).mAge});
       reply.mMayCompress = true;
     } else {
+      ++mCounts.mPullsRefused;
       reply.mStatus = http_status::kUnavailable;
     }
   } else if (path == kMetricsPath) {
     reply.mContentType = "text/plain; version=0.0.4";
-    reply.mBody = mHooks.mRenderMetrics();
+    reply.mBody = mHooks.mRenderMetrics() + RenderControlCounts(mCounts);
   } else if (path == kStatusPath) {
     reply.mBody = RenderStatus();
   } else {
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <string_view>
 #include <utility>
 
 #include "drivers/log.h"
@@ -19,12 +20,20 @@
 constexpr milliseconds kReadTimeout{1000};
 constexpr milliseconds kPullTimeout{600};
 
+void LogStoreAnswer(std::string_view aCall, const StoreDelta& aDelta) {
+  Log(LogLevel::Info, "store_answered",
+      {{"call", aCall},
+       {"as_of", aDelta.mAsOf},
+       {"changes", aDelta.mChanges.size()}});
+}
+
 }  // namespace
 
 void GatewayControl::ReadPage(StoreDelta aSoFar, const std::string& aAfterKey) {
   HttpCall call;
   call.mAddress = mSettings.mStoreAddress;
   call.mTarget = platform::ReadTarget(aAfterKey);
+  ++mCounts.mStoreCalls;
   call.mTimeout = kReadTimeout;
   mStoreCall = mClient.Send(
       call, [this, soFar = std::move(aSoFar)](const HttpResult& aResult) {
@@ -53,6 +62,7 @@
     ReadPage(std::move(aSoFar), page->mLastKey);
     return;
   }
+  LogStoreAnswer("read", aSoFar);
   ApplyChanges(mSynchronizer.StoreAnswered(aSoFar, mClock.Now()), "read");
   RunIteration();
 }
@@ -61,6 +71,7 @@
   HttpCall call;
   call.mAddress = mSettings.mStoreAddress;
   call.mTarget = platform::WatchTarget(aWatch.mAfter, aWatch.mWait);
+  ++mCounts.mStoreCalls;
   call.mTimeout = aWatch.mWait + kWatchSlack;
   call.mTcpKeepAlive = true;
   mStoreCall = mClient.Send(call, [this](const HttpResult& aResult) {
@@ -82,6 +93,7 @@
     StoreCallFailed(aResult, StoreFailure::NoAnswer);
     return;
   }
+  LogStoreAnswer("watch", page->mDelta);
   ApplyChanges(mSynchronizer.StoreAnswered(page->mDelta, mClock.Now()),
                "watch");
   RunIteration();
@@ -106,7 +118,8 @@
   call.mTarget = fmt::format("{}?after={}", kViewTransferPath, aPull.mAfter);
   call.mTimeout = kPullTimeout;
   call.mAcceptsCompressed = true;
-  mClient.Send(call, [this, peer = aPull.mAddress](const HttpResult& aResult) {
+  ++mCounts.mPulls;
+  mClient.Send(call, [this, pull = aPull](const HttpResult& aResult) {
     const bool answered = aResult.mKind == HttpResultKind::Answered &&
                           aResult.mStatus == http_status::kOk;
     auto transfer = answered ? DecodeView(aResult.mBody) : std::nullopt;
@@ -116,10 +129,20 @@
       delta = std::move(transfer->mDelta);
       age = transfer->mAge;
     }
-    ApplyChanges(mSynchronizer.FinishPull(delta, age, mClock.Now()), peer);
+    const auto changes = mSynchronizer.FinishPull(delta, age, mClock.Now());
+    ApplyChanges(changes, pull.mAddress);
+    if (delta && changes.empty()) {
+      // The other host had announced a newer view.
+      Log(LogLevel::Info, "pull_without_change",
+          {{"peer", pull.mAddress},
+           {"after", pull.mAfter},
+           {"as_of", delta->mAsOf},
+           {"full", delta->mFull},
+           {"revision", mSynchronizer.View().Newest()}});
+    }
     if (!delta) {
       Log(LogLevel::Info, "pull_failed",
-          {{"peer", peer},
+          {{"peer", pull.mAddress},
            {"status", aResult.mStatus},
            {"result", static_cast<int>(aResult.mKind)}});
     }
