--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -223,6 +223,34 @@
   }
 }
 
+// Guards against hosts that take the silence of the store for evidence that
+// nothing has changed: a reader whose path is cut vouches for its view while
+// its watch waits, and no other host reads the store by itself.
+TEST_CASE("view: a change is known in time after all readers lost the store") {
+  const std::vector<milliseconds> timesBeforeChange = {
+      milliseconds(0), milliseconds(50), milliseconds(1000), milliseconds(2000),
+      milliseconds(3000)};
+  for (const FleetSize& size :
+       {FleetSize{18, 4}, FleetSize{60, 4}, FleetSize{219, 4}}) {
+    for (const milliseconds time : timesBeforeChange) {
+      for (std::uint32_t seed = 30; seed < 34; ++seed) {
+        CAPTURE(size.mHosts);
+        CAPTURE(time.count());
+        CAPTURE(seed);
+        GossipFleet fleet(size.mHosts, size.mDataCentres, seed);
+        fleet.Run(seconds(10));
+        const std::vector<std::size_t> readers = fleet.Readers();
+        for (const std::size_t reader : readers) {
+          fleet.CutFromStore(reader, true);
+        }
+        fleet.Run(time);
+        const std::uint64_t revision = fleet.Publish();
+        CHECK(fleet.TimeUntilKnown(revision, kChangeBound, {}).has_value());
+      }
+    }
+  }
+}
+
 TEST_CASE("view: a suspended host does not act on a stale view on resume") {
   GossipFleet fleet(18, 4, 5);
   fleet.Run(seconds(10));
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -75,5 +75,41 @@
   CHECK(synchronizer.IsViewFresh(kStart + seconds(13)));
 }
 
+// Guards against a host that never learns of a change: a reader missed it
+// between two pages of a read, its newest revision was higher already, and the
+// others took their views for equal to its view.
+TEST_CASE(
+    "view synchronizer: a change between two pages of a read reaches others") {
+  ViewSynchronizer reader = MakeReader(kStart);
+  ViewSynchronizer other = MakeReader(kStart);
+  TimePoint now = kStart + seconds(1);
+  reader.Tick(true, now);
+  reader.StoreFailed(StoreFailure::HistoryUnavailable, now);
+  now += seconds(1);
+  reader.Tick(true, now);
+  // The first page covers revision 5. Then "key" changes at 6 and "late", which
+  // is on the second page, at 7.
+  reader.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}, {"late", 7, "z"}}},
+                       now);
+  const auto pullFromReader = [&] {
+    const ViewActions actions =
+        other.NotePeerSummary("reader", reader.Summary(now), now);
+    for (const ViewAction& action : actions) {
+      if (const auto* const pull = std::get_if<PullView>(&action)) {
+        const auto delta = reader.ServePull(pull->mAfter, now);
+        other.FinishPull(delta, reader.Summary(now).mAge, now);
+      }
+    }
+  };
+  pullFromReader();
+  now += seconds(1);
+  REQUIRE(WatchOf(reader.Tick(true, now)));
+  reader.StoreAnswered(
+      StoreDelta{false, 7, {{"key", 6, "y"}, {"late", 7, "z"}}}, now);
+  pullFromReader();
+  CHECK(other.View().Items().at("key").mRevision == 6);
+  CHECK(other.View().Items().at("late").mRevision == 7);
+}
+
 }  // namespace
 }  // namespace papayawheel
