CONFIG: only an answer of the store confirms a view, with its true age

Callers saw routes of an older configuration, and 404 for routes that had been added, more than the bound after a change was confirmed.

Cause: a reader vouched for its view while its watch merely waited, up to 5.3 s, with age 0, and every host with an equal view took that for its own confirmation. When the readers lost the store without notice, nobody looked. Beside it, ages were renewed on the way: a message could carry the age that the view had up to 400 ms before, a pull that of the start of its transfer, and hosts that told each other of one confirmation added the delay of each hop. Class: old evidence taken for new.

Now a view is confirmed by answers only, as of the time that the answer covers. The first reader makes the store answer every 0.9 s and tells the fleet (one host of each data centre passes it on); the other two watch as before. A host without a confirmation for 1.3 to 1.5 s reads by itself, at a time of its own, so the first to read tells the rest. Ages are computed when a message is sent, and a confirmation carries an id, so hearing of it again does not renew it. After a suspension a host asks the store at once. One lost call of a host that is no reader does not exclude it from becoming one.

"gossip: each message states the present age of the view" and "view synchronizer: a confirmation that returns is not a new one" are new.

--- a/core/gossip/gossip_broadcast.cpp
+++ b/core/gossip/gossip_broadcast.cpp
@@ -59,7 +59,7 @@
   GossipMessage message;
   message.mKind = aKind;
   message.mSender = mSelf;
-  message.mView = mView;
+  message.mView = mViewSource();
   message.mLoad = mSelf.mLoad;
   message.mCrashDigest = mCrashDigest;
   for (auto it = mPendingUpdates.begin();
@@ -188,4 +188,36 @@
   return datagrams;
 }
 
+Datagrams GossipEngine::BroadcastConfirmation() {
+  std::map<std::string, std::vector<Member*>> byDataCentre;
+  for (auto& [name, member] : mMembers) {
+    if (member.mReachable) {
+      byDataCentre[member.mRecord.mDataCentre].push_back(&member);
+    }
+  }
+  Datagrams datagrams;
+  GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  message.mPassViewOn = UsesRelays();
+  for (auto& [centre, members] : byDataCentre) {
+    if (UsesRelays()) {
+      members = {members[mRandom() % members.size()]};
+    }
+    for (Member* const member : members) {
+      SendTo(*member, message, datagrams);
+    }
+  }
+  return datagrams;
+}
+
+Datagrams GossipEngine::PassViewOn() {
+  Datagrams datagrams;
+  const GossipMessage message = Compose(GossipMessage::Kind::Notice);
+  for (auto& [name, member] : mMembers) {
+    if (member.mReachable && member.mRecord.mDataCentre == mSelf.mDataCentre) {
+      SendTo(member, message, datagrams);
+    }
+  }
+  return datagrams;
+}
+
 }  // namespace papayawheel
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/base/clock.h"
@@ -33,8 +35,11 @@
 
   void SetState(MemberState aState);
   void SetStoreFailing(bool aFailing);
-  /** Sets the view summary that is sent with each message. */
-  void SetView(const ViewSummary& aView) { mView = aView; }
+  /** Sets the function that returns the view summary for a message that is
+   * sent now. Its age must not be older than the message. */
+  void SetViewSource(std::function<ViewSummary()> aSource) {
+    mViewSource = std::move(aSource);
+  }
   /** Sets this host's load, which is sent with each message. A large change is
    * sent at once to the hosts of the data centre, because they use it to select
    * the hosts for callers. */
@@ -64,6 +69,12 @@
    * the change yet. */
   Datagrams BroadcastView(bool aRemote);
 
+  /** Sends the view summary to all hosts of a small fleet, otherwise to one
+   * host of each data centre, which passes it on. */
+  Datagrams BroadcastConfirmation();
+  /** Sends the view summary to all hosts of this data centre. */
+  Datagrams PassViewOn();
+
   /** Pings the given hosts at once, to get their view summaries. Unknown hosts
    * and those with an unanswered ping are skipped. */
   Datagrams PingMembers(const std::vector<std::string>& aNames, TimePoint aNow);
@@ -149,7 +160,7 @@
   MemberRecord mSelf;
   std::minstd_rand mRandom;
   std::vector<std::string> mSeeds;
-  ViewSummary mView;
+  std::function<ViewSummary()> mViewSource = [] { return ViewSummary{}; };
   /** The load that was last sent at once, and when. */
   HostLoad mBroadcastLoad;
   TimePoint mLoadBroadcastAt;
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -55,6 +55,10 @@
   std::uint64_t mAsOf = 0;
   /** Time since the view was known to equal the store; nothing if unknown. */
   std::optional<Duration> mAge;
+  /** Identifies the answer of the store by which that was known; 0 if unknown.
+   * A host that hears of the same answer again must not take it for a new one,
+   * as each hop adds its delay. */
+  std::uint64_t mConfirmation = 0;
 };
 
 /** Content of one datagram between two hosts. */
@@ -68,6 +72,9 @@
   /** Brief (see MemberRecord::IsBrief()) if the receiver has the record. */
   MemberRecord mSender;
   ViewSummary mView;
+  /** Set in a notice to request that the receiver sends its own view summary to
+   * its data centre. */
+  bool mPassViewOn = false;
   /** Current load of the sender. */
   HostLoad mLoad;
   /** Records of other hosts that the receiver may not have yet. */
--- a/core/view/reader_ranking.cpp
+++ b/core/view/reader_ranking.cpp
@@ -48,11 +48,14 @@
   return chosen;
 }
 
-bool IsReader(const MemberRecord& aSelf,
-              const std::vector<std::string>& aReaders) {
-  return aSelf.mState != MemberState::Draining &&
-         std::find(aReaders.begin(), aReaders.end(), aSelf.mName) !=
-             aReaders.end();
+ReaderRole RoleOf(const MemberRecord& aSelf,
+                  const std::vector<std::string>& aReaders) {
+  const auto found = std::find(aReaders.begin(), aReaders.end(), aSelf.mName);
+  if (aSelf.mState == MemberState::Draining || found == aReaders.end()) {
+    return ReaderRole::None;
+  }
+  return found == aReaders.begin() ? ReaderRole::Confirmer
+                                   : ReaderRole::Watcher;
 }
 
 }  // namespace papayawheel
--- a/core/view/reader_ranking.h
+++ b/core/view/reader_ranking.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,20 @@
 std::vector<std::string> ChooseReaders(
     const MemberRecord& aSelf, const std::vector<MemberRecord>& aOthers);
 
-/** Whether a host is in the list of readers and is not draining. */
-bool IsReader(const MemberRecord& aSelf,
-              const std::vector<std::string>& aReaders);
+/** What a host does for the fleet's view of the store. */
+enum class ReaderRole : std::uint8_t {
+  /** It relies on the readers. */
+  None,
+  /** It watches the store for changes. */
+  Watcher,
+  /** It also makes the store answer at short intervals, which confirms the view
+   * of the whole fleet. */
+  Confirmer,
+};
+
+/** The role of a host by the list of readers, whose first one is the confirmer.
+ * A host that is draining has none. */
+ReaderRole RoleOf(const MemberRecord& aSelf,
+                  const std::vector<std::string>& aReaders);
 
 }  // namespace papayawheel
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -12,18 +12,25 @@
  * detected only after this time. */
 constexpr milliseconds kWatchTimeout{4000};
 
+/** The same for the confirmer, so that the store confirms the fleet's view at
+ * this interval. */
+constexpr milliseconds kConfirmationInterval{900};
+
 /** The timeout of a watch after a failed call, or when the store has not
  * answered this host recently. A lost call blocks the next one for its whole
  * timeout, so a short timeout detects a recovered store sooner. */
-constexpr milliseconds kShortWatchTimeout{100};
+constexpr milliseconds kShortWatchTimeout{10};
 
 /** Delay before the next watch after a change, so that changes in quick
  * succession are fetched in one call. */
 constexpr milliseconds kChangeBatchDelay{200};
 
 /** If the view has not been confirmed for this time, the host reads the store
- * by itself. Every host must know of a change within 2 s. */
+ * by itself. Every host must know of a change within 2 s. Each host adds a
+ * random time of up to kMaxConfirmationSpread, so that the first ones to read
+ * tell the others. */
 constexpr milliseconds kMaxConfirmationAge{1300};
+constexpr milliseconds kMaxConfirmationSpread{200};
 
 /** Time after the start for which a host relies on other hosts for its first
  * view before it reads the store by itself. */
@@ -35,9 +42,9 @@
 constexpr milliseconds kFirstReadDelay{60};
 constexpr milliseconds kFirstFleetStartDelay{900};
 
-/** Age of the last confirmation from which a host that is not a reader asks the
- * readers for a new one, and the interval between such requests. */
-constexpr milliseconds kAskReadersAge{700};
+/** Age of the last confirmation from which a host that is not the confirmer
+ * asks the readers for a new one, and the interval between such requests. */
+constexpr milliseconds kAskReadersAge{1000};
 constexpr milliseconds kAskReadersInterval{250};
 
 /** Minimum delays before a failed store call is retried, for readers and for
@@ -51,6 +58,10 @@
 constexpr milliseconds kStoreUnreachableAge{2500};
 constexpr milliseconds kReconnectPeriod{1500};
 
+/** After a suspension the host reads the store by itself within this time,
+ * since confirmations of others may be older than the suspension. */
+constexpr milliseconds kResumeReadSpread{50};
+
 /** An invalidated view that nobody can confirm is used again after this time,
  * so that a host that is cut off from all others still serves its callers. */
 constexpr seconds kMaxInvalidTime{3};
@@ -73,6 +84,7 @@
                                    bool aIsFirstStart)
     : mRandom(aSeed),
       mStartedAt(aNow),
+      mMaxConfirmationAge(kMaxConfirmationAge + Jitter(kMaxConfirmationSpread)),
       mInvalidatedAt(aNow),
       mReconnectedAt(aNow),
       mNextCall(aNow) {
@@ -81,57 +93,70 @@
   mNextCall += delay + Jitter(delay);
 }
 
-ViewActions ViewSynchronizer::Tick(bool aIsReader, TimePoint aNow) {
+ViewActions ViewSynchronizer::Tick(ReaderRole aRole, TimePoint aNow) {
   ViewActions actions;
-  mIsReader = aIsReader;
-  const auto confirmedAt = ConfirmedAt(aNow);
-  const bool isOld = !confirmedAt || aNow - *confirmedAt > kAskReadersAge;
-  if (!aIsReader && isOld && aNow >= mNextReaderQuery) {
+  const bool becomesReader =
+      mRole == ReaderRole::None && aRole != ReaderRole::None;
+  if (becomesReader && mView.IsLoaded()) {
+    mNextCall =
+        std::min<TimePoint>(mNextCall, aNow + Jitter(kReaderRetryDelay));
+  }
+  mRole = aRole;
+  const bool isOld = !mConfirmedAt || aNow - *mConfirmedAt > kAskReadersAge;
+  if (!IsConfirmer() && isOld && aNow >= mNextReaderQuery) {
     mNextReaderQuery = aNow + kAskReadersInterval;
     actions.emplace_back(AskReaders{});
   }
   if (mStoreCallPending || aNow < mNextCall ||
-      (!aIsReader && !NeedsOwnRead(aNow))) {
+      (aRole == ReaderRole::None && !NeedsOwnRead(aNow))) {
     return actions;
   }
   mStoreCallPending = true;
+  mStoreCallAt = aNow;
   if (mNeedsFullRead) {
+    mWatchWait = Duration::zero();
     actions.emplace_back(ReadStore{});
     return actions;
   }
-  mWatching = true;
-  mWatchingSince = aNow;
   const bool mayBeUnreachable = mFailures > 0 || !mAnsweredAt ||
                                 aNow - *mAnsweredAt > kMaxConfirmationAge;
-  actions.emplace_back(WatchStore{
-      mView.AsOf(), mayBeUnreachable ? kShortWatchTimeout : kWatchTimeout});
+  milliseconds wait = IsConfirmer() ? kConfirmationInterval : kWatchTimeout;
+  if (mayBeUnreachable || aRole == ReaderRole::None) {
+    wait = kShortWatchTimeout;
+  }
+  mWatchWait = wait;
+  actions.emplace_back(WatchStore{mView.AsOf(), wait});
   return actions;
 }
 
 TimePoint ViewSynchronizer::NextDue(TimePoint aNow) const {
-  if (!mIsReader && mConfirmedAt) {
-    // A confirmation is requested from the readers well before the host would
-    // read the store by itself.
-    return std::max<TimePoint>(
-        {*mConfirmedAt + kAskReadersAge, mNextReaderQuery, aNow});
-  }
-  if (mStoreCallPending) {
-    return aNow + kWatchTimeout;
+  TimePoint call = aNow + kWatchTimeout;
+  if (!mStoreCallPending) {
+    const TimePoint needed = mConfirmedAt ? *mConfirmedAt + mMaxConfirmationAge
+                                          : mStartedAt + kStartGrace;
+    call = mRole == ReaderRole::None ? std::max(mNextCall, needed) : mNextCall;
   }
-  if (mIsReader) {
-    return std::max(mNextCall, aNow);
+  TimePoint query = TimePoint::max();
+  if (!IsConfirmer() && mConfirmedAt) {
+    query =
+        std::max<TimePoint>(*mConfirmedAt + kAskReadersAge, mNextReaderQuery);
   }
-  return std::max<TimePoint>({mNextCall, mStartedAt + kStartGrace, aNow});
+  return std::max(std::min(call, query), aNow);
 }
 
 bool ViewSynchronizer::NeedsOwnRead(TimePoint aNow) const {
-  const auto confirmedAt = ConfirmedAt(aNow);
-  if (confirmedAt) {
-    return aNow - *confirmedAt > kMaxConfirmationAge;
+  if (mConfirmedAt) {
+    return aNow - *mConfirmedAt > mMaxConfirmationAge;
   }
   return aNow - mStartedAt > kStartGrace;
 }
 
+bool ViewSynchronizer::IsStoreFailing() const {
+  // One lost call of a host that rarely calls the store says little.
+  const std::uint32_t allowed = mRole == ReaderRole::None ? 1 : 0;
+  return mFailures > allowed;
+}
+
 ViewActions ViewSynchronizer::NotePeerSummary(
     const std::string& aControlAddress, const ViewSummary& aSummary,
     TimePoint aNow) {
@@ -145,16 +170,17 @@
   if (mView.IsLoaded() && aSummary.mNewest == mView.Newest()) {
     mView.Advance(aSummary.mAsOf);
     if (aSummary.mAge) {
-      Confirm(aNow - *aSummary.mAge, aNow);
+      Confirm(aNow - *aSummary.mAge, aSummary.mConfirmation, aNow);
     }
     return actions;
   }
   if (aSummary.mAge && aNow - *aSummary.mAge >= mAnnouncedAt) {
     mAnnouncedNewest = aSummary.mNewest;
     mAnnouncedAt = aNow - *aSummary.mAge;
+    mAnnouncedConfirmation = aSummary.mConfirmation;
   }
   if (!mPulling) {
-    actions.emplace_back(PullFrom(aControlAddress));
+    actions.emplace_back(PullFrom(aControlAddress, aNow));
     return actions;
   }
   std::erase(mOtherSources, aControlAddress);
@@ -165,17 +191,19 @@
   return actions;
 }
 
-PullView ViewSynchronizer::PullFrom(const std::string& aControlAddress) {
+PullView ViewSynchronizer::PullFrom(const std::string& aControlAddress,
+                                    TimePoint aNow) {
   mPulling = true;
+  mPullAt = aNow;
   std::erase(mOtherSources, aControlAddress);
   return PullView{aControlAddress, mView.IsLoaded() ? mView.AsOf() : 0};
 }
 
-ViewActions ViewSynchronizer::PullFromNextSource() {
+ViewActions ViewSynchronizer::PullFromNextSource(TimePoint aNow) {
   ViewActions actions;
   if (!mPulling && !mOtherSources.empty()) {
     const std::string source = mOtherSources.back();
-    actions.emplace_back(PullFrom(source));
+    actions.emplace_back(PullFrom(source, aNow));
   }
   return actions;
 }
@@ -190,10 +218,11 @@
   std::vector<StoreChange> changes = mView.Apply(*aDelta);
   mNeedsFullRead = false;
   if (aAge) {
-    Confirm(aNow - *aAge, aNow);
+    // The age was that of the moment when the other host answered.
+    Confirm(mPullAt - *aAge, 0, aNow);
   }
   if (mAnnouncedNewest > 0 && mView.Newest() >= mAnnouncedNewest) {
-    Confirm(mAnnouncedAt, aNow);
+    Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
     mAnnouncedNewest = 0;
   }
   if (mAnnouncedNewest == 0) {
@@ -217,30 +246,47 @@
 
 std::vector<StoreChange> ViewSynchronizer::StoreAnswered(
     const StoreDelta& aDelta, TimePoint aNow) {
+  const TimePoint completeAt = CompleteAt(aDelta, aNow);
   mStoreCallPending = false;
-  mWatching = false;
   mFailures = 0;
   mAnsweredAt = aNow;
   if (aDelta.mFull) {
     mNeedsFullRead = false;
   }
   std::vector<StoreChange> changes = mView.Apply(aDelta);
-  Confirm(aNow, aNow);
+  Confirm(completeAt, NewConfirmation(), aNow);
   mNextCall =
       aNow + (changes.empty() ? Duration::zero() : Duration(kChangeBatchDelay));
   return changes;
 }
 
+TimePoint ViewSynchronizer::CompleteAt(const StoreDelta& aDelta,
+                                       TimePoint aNow) const {
+  if (!mStoreCallPending) {
+    return aNow;
+  }
+  if (aDelta.mFull) {
+    // Later pages of a read may be older than the answer by its whole length.
+    return mStoreCallAt;
+  }
+  // A watch without changes ended when its wait was over; the answer may have
+  // been on its way for longer.
+  return aDelta.mChanges.empty()
+             ? std::min<TimePoint>(aNow, mStoreCallAt + mWatchWait)
+             : aNow;
+}
+
 void ViewSynchronizer::StoreFailed(StoreFailure aFailure, TimePoint aNow) {
   mStoreCallPending = false;
-  mWatching = false;
   if (aFailure == StoreFailure::HistoryUnavailable) {
     mNeedsFullRead = true;
     mNextCall = aNow + Jitter(milliseconds(50));
     return;
   }
   ++mFailures;
-  const Duration delay = mIsReader ? kReaderRetryDelay : kNonReaderRetryDelay;
+  const Duration delay = mRole == ReaderRole::None
+                             ? Duration(kNonReaderRetryDelay)
+                             : Duration(kReaderRetryDelay);
   mNextCall = aNow + delay + Jitter(delay);
 }
 
@@ -249,10 +295,9 @@
   mConfirmedAt.reset();
   mStartedAt = aNow - kStartGrace;
   mStoreCallPending = false;
-  mWatching = false;
   mPulling = false;
   mOtherSources.clear();
-  mNextCall = aNow + milliseconds(100) + Jitter(milliseconds(100));
+  mNextCall = aNow + Jitter(kResumeReadSpread);
 }
 
 bool ViewSynchronizer::IsViewFresh(TimePoint aNow) const {
@@ -262,13 +307,6 @@
   return !mInvalidatedAt || aNow - *mInvalidatedAt > kMaxInvalidTime;
 }
 
-std::optional<TimePoint> ViewSynchronizer::ConfirmedAt(TimePoint aNow) const {
-  const bool isWatchHealthy =
-      mWatching && mFailures == 0 && mConfirmedAt.has_value() &&
-      aNow - mWatchingSince < kWatchTimeout + kMaxConfirmationAge;
-  return isWatchHealthy ? aNow : mConfirmedAt;
-}
-
 ViewSummary ViewSynchronizer::Summary(TimePoint aNow) const {
   ViewSummary summary;
   if (!mView.IsLoaded()) {
@@ -276,27 +314,43 @@
   }
   summary.mNewest = mView.Newest();
   summary.mAsOf = mView.AsOf();
-  if (const auto confirmedAt = ConfirmedAt(aNow)) {
-    summary.mAge = std::chrono::duration_cast<Duration>(aNow - *confirmedAt);
+  if (mConfirmedAt) {
+    summary.mAge = std::chrono::duration_cast<Duration>(aNow - *mConfirmedAt);
+    summary.mConfirmation = mConfirmation;
   }
   return summary;
 }
 
 bool ViewSynchronizer::WasStoreUnreachable(TimePoint aNow) const {
-  const auto confirmedAt = ConfirmedAt(aNow);
-  return !confirmedAt || aNow - *confirmedAt > kStoreUnreachableAge ||
+  return !mConfirmedAt || aNow - *mConfirmedAt > kStoreUnreachableAge ||
          aNow - mReconnectedAt < kReconnectPeriod;
 }
 
-void ViewSynchronizer::Confirm(TimePoint aAt, TimePoint aNow) {
+void ViewSynchronizer::Confirm(TimePoint aAt, std::uint64_t aConfirmation,
+                               TimePoint aNow) {
   if (mInvalidatedAt && aAt < *mInvalidatedAt) {
     return;
   }
+  const bool isKnown =
+      mConfirmedAt && aConfirmation != 0 && aConfirmation == mConfirmation;
+  if (isKnown) {
+    mConfirmedAt = std::min(*mConfirmedAt, aAt);
+    return;
+  }
   if (!mConfirmedAt || aNow - *mConfirmedAt > kStoreUnreachableAge) {
     mReconnectedAt = aNow;
   }
   mInvalidatedAt.reset();
-  mConfirmedAt = mConfirmedAt ? std::max(*mConfirmedAt, aAt) : aAt;
+  if (!mConfirmedAt || aAt > *mConfirmedAt) {
+    mConfirmedAt = aAt;
+    mConfirmation = aConfirmation;
+  }
+}
+
+std::uint64_t ViewSynchronizer::NewConfirmation() {
+  // Two draws, as one has only 31 bits. Never 0.
+  const std::uint64_t high = mRandom();
+  return (high << 32U) | mRandom();
 }
 
 Duration ViewSynchronizer::Jitter(Duration aMax) {
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -9,6 +9,7 @@
 
 #include "core/base/clock.h"
 #include "core/gossip/gossip_message.h"
+#include "core/view/reader_ranking.h"
 #include "core/view/store_view.h"
 
 namespace papayawheel {
@@ -48,8 +49,9 @@
 /** Keeps one host's view of the platform's store up to date with few calls to
  * the store. A few hosts, the readers, watch the store; the other hosts pull
  * changes from hosts that have them. The view is confirmed when the host learns
- * that it included every change at some time. A host whose view is not
- * confirmed by others reads the store by itself.
+ * that it included every change at some time. Only an answer of the store is
+ * evidence of that: a watch that waits may have lost its connection. A host
+ * whose view is not confirmed by others reads the store by itself.
  *
  * The class takes events, each with its time, and returns the actions to carry
  * out; it performs no input or output. */
@@ -60,9 +62,8 @@
    * first read is then delayed until the hosts have found each other. */
   ViewSynchronizer(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart);
 
-  /** Returns the actions that are due.
-   * @param aIsReader whether this host is a reader. */
-  ViewActions Tick(bool aIsReader, TimePoint aNow);
+  /** Returns the actions that are due. */
+  ViewActions Tick(ReaderRole aRole, TimePoint aNow);
   /** The time at which Tick() should be called next. */
   [[nodiscard]] TimePoint NextDue(TimePoint aNow) const;
 
@@ -82,7 +83,7 @@
   /** Returns a pull from another host after a pull that failed or left out
    * changes that were announced during it; empty if there is no other source.
    */
-  ViewActions PullFromNextSource();
+  ViewActions PullFromNextSource(TimePoint aNow);
 
   /** Returns the delta for another host that has every change up to a revision.
    * Empty while so much data is being sent that it would arrive too late. */
@@ -104,7 +105,12 @@
    * confirm it for some time. */
   [[nodiscard]] bool IsViewFresh(TimePoint aNow) const;
   [[nodiscard]] ViewSummary Summary(TimePoint aNow) const;
-  [[nodiscard]] bool IsStoreFailing() const { return mFailures > 0; }
+  /** Whether this host should not be chosen as a reader. */
+  [[nodiscard]] bool IsStoreFailing() const;
+  /** Whether the other hosts rely on the confirmations of this one. */
+  [[nodiscard]] bool IsConfirmer() const {
+    return mRole == ReaderRole::Confirmer;
+  }
   /** Whether the view has not been confirmed for some time, or was not until
    * recently. Removals seen then may be entries that expired only because they
    * could not be renewed while the store was unreachable. */
@@ -112,33 +118,45 @@
   [[nodiscard]] const StoreView& View() const { return mView; }
 
  private:
-  PullView PullFrom(const std::string& aControlAddress);
-  /** Records that the view included every change of the store at a time. */
-  void Confirm(TimePoint aAt, TimePoint aNow);
-  /** The latest time at which the view is known to have been complete; the
-   * present time while a watch of the store runs without failures and is not
-   * overdue. */
-  [[nodiscard]] std::optional<TimePoint> ConfirmedAt(TimePoint aNow) const;
+  PullView PullFrom(const std::string& aControlAddress, TimePoint aNow);
+  /** Records that the view included every change of the store at a time.
+   * @param aConfirmation identifies the answer of the store that showed it; 0
+   * if unknown. */
+  void Confirm(TimePoint aAt, std::uint64_t aConfirmation, TimePoint aNow);
+  /** The time at which the view included every change, by the answer to the
+   * call under way that has just arrived. */
+  [[nodiscard]] TimePoint CompleteAt(const StoreDelta& aDelta,
+                                     TimePoint aNow) const;
   [[nodiscard]] bool NeedsOwnRead(TimePoint aNow) const;
   [[nodiscard]] Duration Jitter(Duration aMax);
+  /** Draws the identification of an answer of the store. */
+  [[nodiscard]] std::uint64_t NewConfirmation();
 
   StoreView mView;
   std::minstd_rand mRandom;
   TimePoint mStartedAt;
+  /** The latest time at which the view is known to have been complete, and the
+   * answer of the store that showed it. */
   std::optional<TimePoint> mConfirmedAt;
+  std::uint64_t mConfirmation = 0;
+  /** Age of the last confirmation from which this host reads the store by
+   * itself. */
+  Duration mMaxConfirmationAge;
   std::optional<TimePoint> mInvalidatedAt;
   TimePoint mReconnectedAt;
-  bool mIsReader = false;
-  /** Whether a read or a watch of the store is under way. */
+  ReaderRole mRole = ReaderRole::None;
+  /** Whether a read or a watch of the store is under way, and since when. */
   bool mStoreCallPending = false;
-  bool mWatching = false;
-  TimePoint mWatchingSince;
+  TimePoint mStoreCallAt;
+  /** How long the watch under way may wait; zero for a read. */
+  Duration mWatchWait{0};
   bool mNeedsFullRead = true;
   std::uint32_t mFailures = 0;
   /** When the store last answered this host; empty if it never has. */
   std::optional<TimePoint> mAnsweredAt;
   TimePoint mNextCall;
   bool mPulling = false;
+  TimePoint mPullAt;
   /** Hosts that announced newer changes during a pull, the latest one last. */
   std::vector<std::string> mOtherSources;
   /** When the deltas given to other hosts will have been sent, by estimate. */
@@ -147,6 +165,7 @@
    * view here includes it; 0 if there is none. */
   std::uint64_t mAnnouncedNewest = 0;
   TimePoint mAnnouncedAt;
+  std::uint64_t mAnnouncedConfirmation = 0;
   TimePoint mNextReaderQuery;
 };
 
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -68,7 +68,9 @@
       mHooks(std::move(aHooks)),
       mGossip(DescribeSelf(aSettings, aClock), SeedOf(aSettings)),
       mSynchronizer(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart),
-      mLastIteration(aClock.Now()) {}
+      mLastIteration(aClock.Now()) {
+  mGossip.SetViewSource([this] { return mSynchronizer.Summary(mClock.Now()); });
+}
 
 bool GatewayControl::Start() {
   const Address address = *ParseAddress(mSettings.mControlAddress);
@@ -146,10 +148,8 @@
     HandleSuspension(gap);
   }
   mGossip.SetStoreFailing(mSynchronizer.IsStoreFailing());
-  mGossip.SetView(mSynchronizer.Summary(now));
   Send(mGossip.Tick(now));
-  const bool isReader = IsReader(mGossip.Self(), Readers());
-  Perform(mSynchronizer.Tick(isReader, now));
+  Perform(mSynchronizer.Tick(RoleOf(mGossip.Self(), Readers()), now));
   if (mRegistry.Tick(now)) {
     PublishView();
   }
@@ -268,12 +268,14 @@
     // view that the message brings.
     RunIteration();
   }
-  mGossip.SetView(mSynchronizer.Summary(now));
   Send(mGossip.MessageArrived(aMessage, now));
   if (const auto sender = mGossip.Find(aMessage.mSender.mName)) {
     Perform(mSynchronizer.NotePeerSummary(sender->mControlAddress,
                                           aMessage.mView, now));
   }
+  if (aMessage.mPassViewOn) {
+    Send(mGossip.PassViewOn());
+  }
   for (const CrashRecord& crash : mGossip.TakeReceivedCrashes()) {
     mHooks.mCrashReceived(crash);
   }
@@ -297,20 +299,21 @@
 
 void GatewayControl::ApplyChanges(const std::vector<StoreChange>& aChanges,
                                   const std::string& aSource) {
-  const TimePoint now = mClock.Now();
   if (mWasStoreFailing && !mSynchronizer.IsStoreFailing()) {
     mWasStoreFailing = false;
     Log(LogLevel::Info, "store_regained",
         {{"revision", mSynchronizer.View().Newest()}});
   }
   PublishViewFreshness();
-  if (aChanges.empty()) {
-    return;
-  }
   // Announced first, so that other hosts fetch the changes while this host
   // decodes them.
-  mGossip.SetView(mSynchronizer.Summary(now));
   const bool fromStore = aSource == "watch" || aSource == "read";
+  if (aChanges.empty()) {
+    if (fromStore && mSynchronizer.IsConfirmer()) {
+      Send(mGossip.BroadcastConfirmation());
+    }
+    return;
+  }
   if (fromStore || mGossip.UsesRelays()) {
     Send(mGossip.BroadcastView(fromStore));
   }
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -146,7 +146,7 @@
            {"status", aResult.mStatus},
            {"result", static_cast<int>(aResult.mKind)}});
     }
-    Perform(mSynchronizer.PullFromNextSource());
+    Perform(mSynchronizer.PullFromNextSource(mClock.Now()));
     RunIteration();
   });
 }
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -29,6 +29,10 @@
 constexpr std::size_t kLoadField = 10;
 /** Index of the digest of the sender's crash records in a message. */
 constexpr std::size_t kCrashDigestField = 11;
+/** Index of the field that requests to pass the view summary on. */
+constexpr std::size_t kPassViewOnField = 12;
+/** Index of the store's answer that confirmed the sender's view. */
+constexpr std::size_t kConfirmationField = 13;
 /** Index of the host's capacity in a full member record. */
 constexpr std::size_t kCapacityField = 9;
 
@@ -206,7 +210,8 @@
        aMessage.mUnresponsive, crashes, aMessage.mWantsMemberList,
        Json::array({std::llround(aMessage.mLoad.mRequests),
                     std::llround(aMessage.mLoad.mLinkBytes)}),
-       aMessage.mCrashDigest.value_or(0)});
+       aMessage.mCrashDigest.value_or(0), aMessage.mPassViewOn,
+       aMessage.mView.mConfirmation});
   std::string datagram;
   Json::to_msgpack(message, datagram);
   return datagram;
@@ -244,6 +249,12 @@
     if (parsed.size() > kCrashDigestField) {
       message.mCrashDigest = parsed.at(kCrashDigestField).get<std::uint64_t>();
     }
+    message.mPassViewOn = parsed.size() > kPassViewOnField &&
+                          parsed.at(kPassViewOnField).get<bool>();
+    if (parsed.size() > kConfirmationField) {
+      message.mView.mConfirmation =
+          parsed.at(kConfirmationField).get<std::uint64_t>();
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -70,6 +70,9 @@
   host.mGossip->SetSeeds(seeds);
   host.mSynchronizer = std::make_unique<ViewSynchronizer>(
       mEvents.Now(), static_cast<std::uint32_t>(mRandom()), host.mEpoch == 0);
+  host.mGossip->SetViewSource([this, synchronizer = host.mSynchronizer.get()] {
+    return synchronizer->Summary(mEvents.Now());
+  });
   host.mAlive = true;
   host.mSuspended = false;
   host.mCallsStore = false;
@@ -181,12 +184,11 @@
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
   host.mGossip->SetStoreFailing(host.mSynchronizer->IsStoreFailing());
-  host.mGossip->SetView(host.mSynchronizer->Summary(now));
   Send(aHost, host.mGossip->Tick(now));
-  const bool isReader =
-      IsReader(host.mGossip->Self(),
-               ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
-  Act(aHost, host.mSynchronizer->Tick(isReader, now));
+  const ReaderRole role =
+      RoleOf(host.mGossip->Self(),
+             ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
+  Act(aHost, host.mSynchronizer->Tick(role, now));
   Schedule(aHost);
 }
 
@@ -222,12 +224,14 @@
     return;
   }
   const TimePoint now = mEvents.Now();
-  host.mGossip->SetView(host.mSynchronizer->Summary(now));
   Send(aTo, host.mGossip->MessageArrived(aText, now));
   if (const auto sender = host.mGossip->Find(aText.mSender.mName)) {
     Act(aTo, host.mSynchronizer->NotePeerSummary(sender->mControlAddress,
                                                  aText.mView, now));
   }
+  if (aText.mPassViewOn) {
+    Send(aTo, host.mGossip->PassViewOn());
+  }
 }
 
 void GossipFleet::Act(std::size_t aHost, const ViewActions& aActions) {
@@ -329,9 +333,9 @@
 void GossipFleet::ViewUpdated(std::size_t aHost, bool aChanged,
                               bool aFromStore) {
   Host& host = mHosts[aHost];
-  const TimePoint now = mEvents.Now();
-  host.mGossip->SetView(host.mSynchronizer->Summary(now));
-  if (aChanged && aFromStore) {
+  if (!aChanged && aFromStore && host.mSynchronizer->IsConfirmer()) {
+    Send(aHost, host.mGossip->BroadcastConfirmation());
+  } else if (aChanged && aFromStore) {
     Send(aHost, host.mGossip->BroadcastView(true));
   } else if (aChanged && host.mGossip->UsesRelays()) {
     Send(aHost, host.mGossip->BroadcastView(false));
@@ -373,7 +377,8 @@
     if (IsUp(aHost, epoch)) {
       const auto changes =
           mHosts[aHost].mSynchronizer->FinishPull(delta, age, mEvents.Now());
-      Act(aHost, mHosts[aHost].mSynchronizer->PullFromNextSource());
+      Act(aHost,
+          mHosts[aHost].mSynchronizer->PullFromNextSource(mEvents.Now()));
       ViewUpdated(aHost, !changes.empty(), false);
     }
   });
@@ -383,7 +388,7 @@
   if (IsUp(aHost, aEpoch)) {
     ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
     synchronizer.FinishPull(std::nullopt, std::nullopt, mEvents.Now());
-    Act(aHost, synchronizer.PullFromNextSource());
+    Act(aHost, synchronizer.PullFromNextSource(mEvents.Now()));
   }
 }
 
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -311,7 +311,7 @@
     std::erase_if(others, [&self](const MemberRecord& aOther) {
       return aOther.mName == self.mName;
     });
-    if (IsReader(self, ChooseReaders(self, others))) {
+    if (RoleOf(self, ChooseReaders(self, others)) != ReaderRole::None) {
       readers.push_back(self.mName);
       for (const std::string& other : readers) {
         const bool sameCentre = std::stoi(other.substr(1)) % 4 ==
@@ -330,7 +330,7 @@
                                    [&failing](const MemberRecord& aHost) {
                                      return aHost.mName == failing;
                                    });
-    CHECK_FALSE(IsReader(*self, ChooseReaders(*self, hosts)));
+    CHECK(RoleOf(*self, ChooseReaders(*self, hosts)) == ReaderRole::None);
   }
 }
 
--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "tests/core/gossip_fleet.h"
 
@@ -90,6 +91,37 @@
   }
 }
 
+// Guards against a host that takes an old confirmation of its view for a new
+// one, because the message states the age that it had some time before it was
+// sent.
+TEST_CASE("gossip: each message states the present age of the view") {
+  MemberRecord self;
+  self.mName = "self";
+  self.mGossipAddress = "self:1";
+  GossipEngine engine(self, 1);
+  Duration age = milliseconds(10);
+  engine.SetViewSource([&age] { return ViewSummary{1, 1, age}; });
+  GossipMessage ping;
+  ping.mSender.mName = "other";
+  ping.mSender.mGossipAddress = "other:1";
+  TimePoint now{seconds(100)};
+  engine.MessageArrived(ping, now);
+  engine.Tick(now);
+  age = milliseconds(400);
+  now += milliseconds(390);
+  const std::vector<std::pair<std::string, Datagrams>> sent = {
+      {"load", engine.SetLoad(HostLoad{1000, 0}, now)},
+      {"announcement", engine.Announce()},
+      {"change", engine.BroadcastView(true)},
+      {"confirmation", engine.BroadcastConfirmation()},
+      {"passed on", engine.PassViewOn()}};
+  for (const auto& [what, datagrams] : sent) {
+    CAPTURE(what);
+    REQUIRE(datagrams.size() == 1);
+    CHECK(datagrams[0].mMessage.mView.mAge == age);
+  }
+}
+
 TEST_CASE("gossip: hosts that missed each other's start find each other") {
   struct Case {
     std::string mWhat;
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -11,9 +11,9 @@
 const TimePoint kStart{std::chrono::hours(1)};
 
 /** Returns the synchronizer of a reader that has read the store. */
-ViewSynchronizer MakeReader(TimePoint aNow) {
-  ViewSynchronizer synchronizer(kStart - seconds(1), 1, false);
-  synchronizer.Tick(true, aNow);
+ViewSynchronizer MakeReader(TimePoint aNow, std::uint32_t aSeed = 1) {
+  ViewSynchronizer synchronizer(kStart - seconds(1), aSeed, false);
+  synchronizer.Tick(ReaderRole::Watcher, aNow);
   synchronizer.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}}}, aNow);
   return synchronizer;
 }
@@ -32,11 +32,11 @@
     "view synchronizer: a store that failed is retried with short calls") {
   ViewSynchronizer synchronizer = MakeReader(kStart);
   TimePoint now = kStart + seconds(1);
-  REQUIRE(WatchOf(synchronizer.Tick(true, now)));
+  REQUIRE(WatchOf(synchronizer.Tick(ReaderRole::Watcher, now)));
   for (int failure = 0; failure < 5; ++failure) {
     synchronizer.StoreFailed(StoreFailure::NoAnswer, now);
     now += seconds(1);
-    const auto watch = WatchOf(synchronizer.Tick(true, now));
+    const auto watch = WatchOf(synchronizer.Tick(ReaderRole::Watcher, now));
     REQUIRE(watch);
     // A lost call blocks the next one until it ends, so only short calls detect
     // a recovered store soon.
@@ -44,17 +44,19 @@
     CHECK(watch->mAfter == 5);
   }
   synchronizer.StoreAnswered(StoreDelta{false, 6, {}}, now);
-  CHECK(WatchOf(synchronizer.Tick(true, now))->mWait >= seconds(2));
+  CHECK(WatchOf(synchronizer.Tick(ReaderRole::Watcher, now))->mWait >=
+        seconds(2));
 }
 
 TEST_CASE(
     "view synchronizer: a store without the requested history is read in "
     "full") {
   ViewSynchronizer synchronizer = MakeReader(kStart);
-  synchronizer.Tick(true, kStart + seconds(1));
+  synchronizer.Tick(ReaderRole::Confirmer, kStart + seconds(1));
   synchronizer.StoreFailed(StoreFailure::HistoryUnavailable,
                            kStart + seconds(1));
-  const ViewActions actions = synchronizer.Tick(true, kStart + seconds(2));
+  const ViewActions actions =
+      synchronizer.Tick(ReaderRole::Confirmer, kStart + seconds(2));
   REQUIRE(actions.size() == 1);
   CHECK(std::holds_alternative<ReadStore>(actions.front()));
 }
@@ -75,18 +77,36 @@
   CHECK(synchronizer.IsViewFresh(kStart + seconds(13)));
 }
 
+// Guards against hosts that renew a confirmation by hearing of it from each
+// other, with the delay of each hop added.
+TEST_CASE("view synchronizer: a confirmation that returns is not a new one") {
+  ViewSynchronizer one = MakeReader(kStart);
+  ViewSynchronizer other = MakeReader(kStart - milliseconds(100), 2);
+  TimePoint now = kStart;
+  for (int hop = 0; hop < 50; ++hop) {
+    const ViewSummary fromOne = one.Summary(now);
+    now += milliseconds(20);
+    other.NotePeerSummary("one", fromOne, now);
+    const ViewSummary fromOther = other.Summary(now);
+    now += milliseconds(20);
+    one.NotePeerSummary("other", fromOther, now);
+  }
+  CHECK(*one.Summary(now).mAge == now - kStart);
+  CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
+}
+
 // Guards against a host that never learns of a change: a reader missed it
 // between two pages of a read, its newest revision was higher already, and the
 // others took their views for equal to its view.
 TEST_CASE(
     "view synchronizer: a change between two pages of a read reaches others") {
   ViewSynchronizer reader = MakeReader(kStart);
-  ViewSynchronizer other = MakeReader(kStart);
+  ViewSynchronizer other = MakeReader(kStart, 2);
   TimePoint now = kStart + seconds(1);
-  reader.Tick(true, now);
+  reader.Tick(ReaderRole::Watcher, now);
   reader.StoreFailed(StoreFailure::HistoryUnavailable, now);
   now += seconds(1);
-  reader.Tick(true, now);
+  reader.Tick(ReaderRole::Watcher, now);
   // The first page covers revision 5. Then "key" changes at 6 and "late", which
   // is on the second page, at 7.
   reader.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}, {"late", 7, "z"}}},
@@ -103,7 +123,7 @@
   };
   pullFromReader();
   now += seconds(1);
-  REQUIRE(WatchOf(reader.Tick(true, now)));
+  REQUIRE(WatchOf(reader.Tick(ReaderRole::Watcher, now)));
   reader.StoreAnswered(
       StoreDelta{false, 7, {{"key", 6, "y"}, {"late", 7, "z"}}}, now);
   pullFromReader();
--- a/tests/fuzz/fuzz_gossip.cpp
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -32,7 +32,7 @@
     EncodeGossip(datagram.mMessage);
   }
   synchronizer.NotePeerSummary("10.0.0.2:1", message->mView, kNow);
-  synchronizer.Tick(false, kNow);
+  synchronizer.Tick(ReaderRole::None, kNow);
   engine.Tick(kNow + std::chrono::seconds(1));
 }
 
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -213,6 +213,8 @@
                                   milliseconds(20), milliseconds(70)}};
   message.mCrashDigest = 99;
   message.mWantsMemberList = true;
+  message.mPassViewOn = true;
+  message.mView.mConfirmation = 0xfedcba9876543210ULL;
   message.mSender.mCapacity = HostCapacity{0.5, 25e6};
   message.mLoad = HostLoad{120, 3e6};
   const std::string datagram = EncodeGossip(message);
@@ -221,6 +223,8 @@
   CHECK(EncodeGossip(*decoded) == datagram);
   CHECK(decoded->mRecords[1].IsBrief());
   CHECK(decoded->mWantsMemberList);
+  CHECK(decoded->mPassViewOn);
+  CHECK(decoded->mView.mConfirmation == 0xfedcba9876543210ULL);
   CHECK(decoded->mSender.mState == MemberState::Draining);
   CHECK(decoded->mSender.mCapacity.mLinkBytes == 25e6);
   CHECK(decoded->mLoad.mRequests == 120);
@@ -231,16 +235,19 @@
     CHECK_FALSE(DecodeGossip(datagram.substr(0, size)));
   }
   // Earlier versions of the program send no request for the member list, no
-  // load and no crash digest.
+  // load, no crash digest, no request to pass the view on and no confirmation.
   auto earlier = nlohmann::json::from_msgpack(datagram);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
   std::string fromEarlier;
   nlohmann::json::to_msgpack(earlier, fromEarlier);
   const auto decodedEarlier = DecodeGossip(fromEarlier);
   REQUIRE(decodedEarlier);
   CHECK_FALSE(decodedEarlier->mWantsMemberList);
+  CHECK_FALSE(decodedEarlier->mPassViewOn);
   CHECK_FALSE(decodedEarlier->mCrashDigest);
   // Their crash records consist of fingerprint and endpoint only.
   earlier[8] = {{0xfedcba9876543210ULL, "i-1"}};
