CONFIG: changes beyond a complete view do not make it newer

A host could stay on an older configuration until its next full read: a reader that read the store in pages had a change from a later page, missed one that was made between the pages, and got that one by its next watch. Its newest revision had not risen, so the others took their views for equal and even recorded that they were complete. Cause: the newest revision counted changes beyond the revision up to which the view is complete. Class: an equal revision taken for an equal view. Only changes up to AsOf() count now; later ones count when the view is complete up to them.

"view synchronizer: a change between two pages of a read reaches others" failed and passes; all view tests pass.

--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -42,7 +42,7 @@
       continue;
     }
     mItems[change.mKey] = change;
-    mNewest = std::max(mNewest, change.mRevision);
+    NoteRevision(change.mRevision);
     applied.push_back(change);
   }
   if (aDelta.mFull) {
@@ -52,7 +52,7 @@
       if (removed) {
         item.mRevision = aDelta.mAsOf;
         item.mValue.reset();
-        mNewest = std::max(mNewest, item.mRevision);
+        NoteRevision(item.mRevision);
         applied.push_back(item);
       }
     }
@@ -69,7 +69,22 @@
   return applied;
 }
 
-void StoreView::Advance(std::uint64_t aAsOf) { mAsOf = std::max(mAsOf, aAsOf); }
+void StoreView::Advance(std::uint64_t aAsOf) {
+  mAsOf = std::max(mAsOf, aAsOf);
+  const auto end = mAhead.upper_bound(mAsOf);
+  for (auto it = mAhead.begin(); it != end; ++it) {
+    mNewest = std::max(mNewest, *it);
+  }
+  mAhead.erase(mAhead.begin(), end);
+}
+
+void StoreView::NoteRevision(std::uint64_t aRevision) {
+  if (aRevision > mAsOf) {
+    mAhead.insert(aRevision);
+  } else {
+    mNewest = std::max(mNewest, aRevision);
+  }
+}
 
 StoreDelta StoreView::Since(std::uint64_t aRevision) const {
   StoreDelta delta;
--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,8 +51,11 @@
   [[nodiscard]] bool IsLoaded() const { return mLoaded; }
   /** The view includes every change up to this revision. */
   [[nodiscard]] std::uint64_t AsOf() const { return mAsOf; }
-  /** The highest revision of any key in the view. Hosts whose views have the
-   * same contents return the same revision. */
+  /** The highest revision of any key up to AsOf(). Hosts whose views are
+   * complete up to the same change return the same revision. Later changes, as
+   * a read of several pages may bring, do not count: earlier ones may be
+   * missing.
+   */
   [[nodiscard]] std::uint64_t Newest() const { return mNewest; }
 
   /** Applies a delta and returns the changes that were not known yet. A full
@@ -71,6 +75,8 @@
   }
 
  private:
+  /** Records the revision of a change that was applied. */
+  void NoteRevision(std::uint64_t aRevision);
   void NoteGap(std::uint64_t aAfter, std::uint64_t aUntil);
   void PruneRemovals();
   [[nodiscard]] bool NeedsFullCopy(std::uint64_t aRevision) const;
@@ -78,6 +84,8 @@
   bool mLoaded = false;
   std::uint64_t mAsOf = 0;
   std::uint64_t mNewest = 0;
+  /** Revisions of applied changes after mAsOf. */
+  std::set<std::uint64_t> mAhead;
   /** Removals up to this revision may have been pruned; hosts older than this
    * need a full copy. */
   std::uint64_t mPrunedUpTo = 0;
