CONFIG: a view that never saw a removed key no longer passes for an equal one

A host that had just started read the store after a key was removed. The newest revision of its keys was that of a host that still had the key, so that host took the views for equal, recorded that it was complete beyond the removal, and kept the endpoint in use until its next full read. The other way round, the new host asked for changes with every message and got none (pull_without_change in our logs).

Class as before: an equal revision taken for an equal view. A full read now counts as new up to the revision that it covers, and two views are equal if neither lacks the newest change of the other. "view synchronizer: a removal that a new host never saw reaches others" failed and passes; all view and gossip tests pass.

--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -56,6 +56,9 @@
         applied.push_back(item);
       }
     }
+    // The last change may have been the removal of a key that is not known
+    // here.
+    NoteRevision(aDelta.mAsOf);
     // A key that was written and removed between two full reads is in neither
     // of them.
     NoteGap(before, aDelta.mAsOf);
--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -51,9 +51,8 @@
   [[nodiscard]] bool IsLoaded() const { return mLoaded; }
   /** The view includes every change up to this revision. */
   [[nodiscard]] std::uint64_t AsOf() const { return mAsOf; }
-  /** The highest revision of any key up to AsOf(). Hosts whose views are
-   * complete up to the same change return the same revision. Later changes, as
-   * a read of several pages may bring, do not count: earlier ones may be
+  /** A revision such that no change lies between it and AsOf(). Later changes,
+   * as a read of several pages may bring, do not count: earlier ones may be
    * missing.
    */
   [[nodiscard]] std::uint64_t Newest() const { return mNewest; }
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -164,10 +164,13 @@
   if (aSummary.mNewest == 0) {
     return actions;
   }
-  if (mView.IsLoaded() && aSummary.mNewest < mView.Newest()) {
+  if (mView.IsLoaded() && aSummary.mAsOf < mView.Newest()) {
     return actions;
   }
-  if (mView.IsLoaded() && aSummary.mNewest == mView.Newest()) {
+  // No change lies between the newest one of a view and the revision up to
+  // which it is complete. So the views are equal if neither lacks the newest of
+  // the other.
+  if (mView.IsLoaded() && aSummary.mNewest <= mView.AsOf()) {
     mView.Advance(aSummary.mAsOf);
     if (aSummary.mAge) {
       Confirm(aNow - *aSummary.mAge, aSummary.mConfirmation, aNow);
@@ -221,7 +224,7 @@
     // The age was that of the moment when the other host answered.
     Confirm(mPullAt - *aAge, 0, aNow);
   }
-  if (mAnnouncedNewest > 0 && mView.Newest() >= mAnnouncedNewest) {
+  if (mAnnouncedNewest > 0 && mView.AsOf() >= mAnnouncedNewest) {
     Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
     mAnnouncedNewest = 0;
   }
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -95,6 +95,31 @@
   CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
 }
 
+// Guards against a removed endpoint that stays in use: a host that has just
+// started does not know of the removed key, so the newest revision of its keys
+// is that of a host that still has the key.
+TEST_CASE(
+    "view synchronizer: a removal that a new host never saw reaches others") {
+  ViewSynchronizer other(kStart - seconds(1), 2, false);
+  other.Tick(ReaderRole::Watcher, kStart);
+  other.StoreAnswered(
+      StoreDelta{true, 4, {{"removed", 3, "x"}, {"key", 4, "x"}}}, kStart);
+  ViewSynchronizer started(kStart, 3, false);
+  const TimePoint now = kStart + seconds(1);
+  started.Tick(ReaderRole::Watcher, now);
+  started.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}}}, now);
+  const ViewActions actions =
+      other.NotePeerSummary("started", started.Summary(now), now);
+  REQUIRE(actions.size() == 1);
+  const auto& pull = std::get<PullView>(actions.front());
+  other.FinishPull(started.ServePull(pull.mAfter, now),
+                   started.Summary(now).mAge, now);
+  CHECK_FALSE(other.View().Items().at("removed").mValue);
+  // Neither host asks the other one again.
+  CHECK(other.NotePeerSummary("started", started.Summary(now), now).empty());
+  CHECK(started.NotePeerSummary("other", other.Summary(now), now).empty());
+}
+
 // Guards against a host that never learns of a change: a reader missed it
 // between two pages of a read, its newest revision was higher already, and the
 // others took their views for equal to its view.
