--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -28,9 +28,15 @@
 /** Larger values of the caller's deadline header are reduced to this. */
 constexpr std::int64_t kMaxCallerTimeoutMs = 3'600'000;
 
-/** Reads from an answer whether the endpoint drains or requests a backoff. */
-EndpointNotice ReadNotice(const Response& aResponse) {
+/** Reads from an answer whether the endpoint drains, requests a backoff or
+ * names a limit. */
+EndpointNotice ReadNotice(const Response& aResponse, NoticeSource aSource) {
   EndpointNotice notice;
+  notice.mSource = aSource;
+  if (const auto limit =
+          FindHeader(aResponse.mHeaders, platform::kLimitHeader)) {
+    notice.mLimit = platform::ParseLimit(*limit);
+  }
   const auto leaving =
       FindHeader(aResponse.mHeaders, platform::kDrainingHeader);
   notice.mDraining = leaving && *leaving == "1";
@@ -127,7 +133,7 @@
   // An answer without an endpoint id may come from any program at the address.
   reply.mLiveness =
       endpoint ? EndpointLiveness::Alive : EndpointLiveness::Unknown;
-  reply.mNotice = ReadNotice(*aAnswer.mResponse);
+  reply.mNotice = ReadNotice(*aAnswer.mResponse, NoticeSource::Probe);
   if (const auto load = FindHeader(headers, platform::kLoadHeader)) {
     reply.mSample = platform::ParseLoad(*load);
   }
@@ -161,7 +167,7 @@
   // If another endpoint has the address now, its notice does not concern the
   // endpoint of this attempt.
   if (response.mStatus != http_status::kMisdirected) {
-    reply.mNotice = ReadNotice(response);
+    reply.mNotice = ReadNotice(response, NoticeSource::Request);
   }
   if (FindHeader(response.mHeaders, platform::kNotRunHeader) ||
       response.mStatus == http_status::kMisdirected) {
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -46,11 +46,14 @@
 
 void GatewayTraffic::LogNotice(const std::string& aEndpoint,
                                const EndpointNotice& aNotice) {
-  if (aNotice.mDraining || aNotice.mBackoff > Duration::zero()) {
+  if (aNotice.mDraining || aNotice.mBackoff > Duration::zero() ||
+      aNotice.mLimit) {
     Log(LogLevel::Info, "endpoint_notice",
         {{"endpoint", aEndpoint},
          {"leaving", aNotice.mDraining},
-         {"stay_away_us", aNotice.mBackoff.count()}});
+         {"stay_away_us", aNotice.mBackoff.count()},
+         {"limit", aNotice.mLimit ? fmt::format("{}", *aNotice.mLimit) : ""},
+         {"probe", aNotice.mSource == NoticeSource::Probe}});
   }
 }
 
