LIMIT: hosts divide the limit that an endpoint names

An endpoint in need named how many requests a second it takes from all hosts together, and went on getting as many as before from each.

Class: a signal of the endpoint that concerns all hosts together, without a rule by which each host finds its part.

First attempts, retries, hedges and queued calls pass the same check. A limit is kept with the endpoint's notices: it holds until an answer says otherwise or the endpoint starts again, whatever is published.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -52,6 +52,15 @@
 constexpr milliseconds kInitialPause{100};
 constexpr std::uint32_t kMaxDoublings = 4;
 
+/** Maximum time between two requests to an endpoint with a limit. Used if the
+ * share of this host is very small or zero. */
+constexpr seconds kMaxLimitInterval{3600};
+
+/** A host whose share has just changed waits a random part of an interval, from
+ * the first to the second, so that many hosts do not send at the same time. */
+constexpr double kMinFirstInterval = 0.5;
+constexpr double kMaxFirstInterval = 1.5;
+
 /** Maximum number of endpoints whose notices are stored. */
 constexpr std::size_t kMaxNotices = 4096;
 
@@ -129,39 +138,109 @@
     }
     state.mEntry = entry;
     if (!stays) {
-      RestoreNotice(state);
+      RestoreNotice(state, aNow);
     }
     next.emplace(id, std::move(state));
   }
   mEndpoints = std::move(next);
 }
 
-void EndpointPool::RestoreNotice(State& aState) const {
+void EndpointPool::SetCallerHosts(const std::string& aSelf,
+                                  const std::vector<CallerHost>& aHosts,
+                                  TimePoint aNow) {
+  mSelf = aSelf;
+  mCallerHosts = aHosts;
+  for (auto& [id, state] : mEndpoints) {
+    if (state.mLimit) {
+      UpdateLimitShare(state, aNow);
+    }
+  }
+}
+
+void EndpointPool::NoteLimit(State& aState, const EndpointNotice& aNotice,
+                             TimePoint aNow) {
+  const bool isProbe = aNotice.mSource == NoticeSource::Probe;
+  aState.mProbesNameLimit =
+      aState.mProbesNameLimit || (isProbe && aNotice.mLimit.has_value());
+  const bool isSilentProbe =
+      isProbe && !aNotice.mLimit && !aState.mProbesNameLimit;
+  if (aNotice.mSource == NoticeSource::None || isSilentProbe) {
+    return;
+  }
+  if (!aNotice.mLimit) {
+    aState.mLimit.reset();
+    return;
+  }
+  const bool isFirst = !aState.mLimit;
+  const bool hasChanged = aNotice.mLimit != aState.mLimit;
+  aState.mLimit = aNotice.mLimit;
+  if (isFirst) {
+    aState.mLimitShare = 0;
+    aState.mLimitedUntil = TimePoint::max();
+  }
+  if (hasChanged) {
+    UpdateLimitShare(aState, aNow);
+  }
+}
+
+void EndpointPool::UpdateLimitShare(State& aState, TimePoint aNow) {
+  const double share =
+      ShareOfLimit(aState.mEntry.mId, aState.mEntry.mDataCentre, *aState.mLimit,
+                   mSelf, mCallerHosts);
+  if (share == aState.mLimitShare) {
+    return;
+  }
+  const double part = std::uniform_real_distribution<double>(
+      kMinFirstInterval, kMaxFirstInterval)(mRandom);
+  const TimePoint next = NextByShare(share / part, aNow);
+  const bool grows = share > aState.mLimitShare;
+  aState.mLimitedUntil = grows ? std::min(aState.mLimitedUntil, next)
+                               : std::max(aState.mLimitedUntil, next);
+  aState.mLimitShare = share;
+}
+
+TimePoint EndpointPool::NextByShare(double aShare, TimePoint aNow) {
+  const double max = ToSeconds(kMaxLimitInterval);
+  const double interval = aShare > 0 ? std::min(max, 1 / aShare) : max;
+  return aNow +
+         Duration(static_cast<std::int64_t>(interval * kMicrosPerSecond));
+}
+
+void EndpointPool::RestoreNotice(State& aState, TimePoint aNow) {
   const auto stored = mNotices.find(aState.mEntry.mId);
   if (stored != mNotices.end() &&
       IsSameStart(stored->second.mEntry, aState.mEntry)) {
     aState.mDraining = stored->second.mDraining;
     aState.mBackoffUntil = stored->second.mBackoffUntil;
+    EndpointNotice limit;
+    limit.mLimit = stored->second.mLimit;
+    limit.mSource = NoticeSource::Request;
+    NoteLimit(aState, limit, aNow);
   }
 }
 
 void EndpointPool::NoteNotice(const std::string& aId,
                               const EndpointNotice& aNotice, TimePoint aNow) {
   const auto found = mEndpoints.find(aId);
+  if (found == mEndpoints.end()) {
+    return;
+  }
+  State& state = found->second;
+  const bool hadLimit = state.mLimit.has_value();
+  NoteLimit(state, aNotice, aNow);
   const bool isEmpty =
       !aNotice.mDraining && aNotice.mBackoff <= Duration::zero();
-  if (found == mEndpoints.end() || isEmpty) {
+  if (isEmpty && !hadLimit && !state.mLimit) {
     return;
   }
-  State& state = found->second;
   state.mDraining = state.mDraining || aNotice.mDraining;
   state.mBackoffUntil =
       std::max<TimePoint>(state.mBackoffUntil, aNow + aNotice.mBackoff);
   if (!mNotices.contains(aId)) {
     EvictNotices(aNow);
   }
-  mNotices[aId] =
-      StoredNotice{state.mEntry, state.mDraining, state.mBackoffUntil};
+  mNotices[aId] = StoredNotice{state.mEntry, state.mDraining,
+                               state.mBackoffUntil, state.mLimit};
 }
 
 void EndpointPool::EvictNotices(TimePoint aNow) {
@@ -169,7 +248,8 @@
     return;
   }
   std::erase_if(mNotices, [&](const auto& aEntry) {
-    return !aEntry.second.mDraining && aEntry.second.mBackoffUntil <= aNow;
+    return !aEntry.second.mDraining && aEntry.second.mBackoffUntil <= aNow &&
+           !aEntry.second.mLimit;
   });
   // Unpublished endpoints are the least likely to return.
   for (auto it = mNotices.begin();
@@ -298,6 +378,10 @@
   const auto found = mEndpoints.find(aId);
   if (found != mEndpoints.end()) {
     found->second.mOwnSendTimes.push_back(aNow);
+    if (found->second.mLimit) {
+      found->second.mLimitedUntil =
+          NextByShare(found->second.mLimitShare, aNow);
+    }
   }
 }
 
@@ -377,6 +461,21 @@
   return first;
 }
 
+std::optional<TimePoint> EndpointPool::EarliestReturn(TimePoint aNow) const {
+  std::optional<TimePoint> first;
+  for (const auto& [id, state] : mEndpoints) {
+    const TimePoint returnsAt =
+        state.mLimit ? std::max(state.mBackoffUntil, state.mLimitedUntil)
+                     : state.mBackoffUntil;
+    const bool returns =
+        !state.mEntry.mDraining && !state.mDraining && returnsAt > aNow;
+    if (returns && (!first || returnsAt < *first)) {
+      first = returnsAt;
+    }
+  }
+  return first;
+}
+
 bool EndpointPool::IsKnownFull(const State& aState, Duration aWork,
                                TimePoint aNow) const {
   const double slots = std::max<double>(1, aState.mEntry.mSlots);
@@ -390,7 +489,8 @@
                             const std::vector<std::string>& aExcluded,
                             TimePoint aNow) const {
   const bool acceptsWork = !aState.mEntry.mDraining && !aState.mDraining &&
-                           aNow >= aState.mBackoffUntil;
+                           aNow >= aState.mBackoffUntil &&
+                           (!aState.mLimit || aNow >= aState.mLimitedUntil);
   const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
                                   aState.mEntry.mId) != aExcluded.end();
   return !excluded && acceptsWork && aNow >= aState.mUsableFrom;
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_entry.h"
 #include "core/endpoints/endpoint_notice.h"
+#include "core/endpoints/limit_share.h"
 #include "core/endpoints/load_sample.h"
 
 namespace papayawheel {
@@ -67,6 +68,11 @@
   void Configure(const EndpointMap& aEntries, const std::string& aService,
                  TimePoint aNow);
 
+  /** Sets the hosts among which the limits of endpoints are divided.
+   * @param aSelf this host's address for callers. */
+  void SetCallerHosts(const std::string& aSelf,
+                      const std::vector<CallerHost>& aHosts, TimePoint aNow);
+
   /** Returns the endpoint with the lowest estimated time until the answer,
    * adjusted for failures and distance; nothing if none is usable.
    * @param aExcluded ids that must not be selected.
@@ -126,6 +132,9 @@
    * endpoint is in a backoff. Draining endpoints do not count. */
   [[nodiscard]] std::optional<TimePoint> EarliestBackoffEnd(
       TimePoint aNow) const;
+  /** The same, for the earliest time at which an endpoint that is in a backoff
+   * or has a limit may get a request from this host. */
+  [[nodiscard]] std::optional<TimePoint> EarliestReturn(TimePoint aNow) const;
   [[nodiscard]] std::size_t Size() const { return mEndpoints.size(); }
 
  private:
@@ -153,6 +162,14 @@
     bool mDraining = false;
     TimePoint mBackoffUntil;
     TimePoint mWarmUpUntil;
+    /** Limit of the endpoint, if it names one, and this host's share of it, in
+     * requests per second. */
+    std::optional<double> mLimit = std::nullopt;
+    double mLimitShare = 0;
+    /** When the share allows the next request. */
+    TimePoint mLimitedUntil;
+    /** Whether its answers to probes name the limit. */
+    bool mProbesNameLimit = false;
     /** Random relative penalty, which breaks ties between equal endpoints. */
     double mTieBreak = 0;
   };
@@ -162,6 +179,7 @@
     EndpointEntry mEntry;
     bool mDraining = false;
     TimePoint mBackoffUntil;
+    std::optional<double> mLimit = std::nullopt;
   };
 
   /** Whether the endpoints of the service report their load. */
@@ -201,12 +219,21 @@
    * answered. */
   void NoteMissingReport();
   /** Applies stored notices to an endpoint that is published again. */
-  void RestoreNotice(State& aState) const;
+  void RestoreNotice(State& aState, TimePoint aNow);
+  /** Applies what an answer says of the endpoint's limit. */
+  void NoteLimit(State& aState, const EndpointNotice& aNotice, TimePoint aNow);
+  /** Computes this host's share of an endpoint's limit. */
+  void UpdateLimitShare(State& aState, TimePoint aNow);
+  /** When the next request may follow one that is sent now.
+   * @param aShare requests per second. */
+  static TimePoint NextByShare(double aShare, TimePoint aNow);
   /** Makes room for the notices of one more endpoint. */
   void EvictNotices(TimePoint aNow);
   void NoteFailure(State& aState, bool aUnreachable, TimePoint aNow);
 
   std::string mDataCentre;
+  std::string mSelf;
+  std::vector<CallerHost> mCallerHosts;
   std::minstd_rand mRandom;
   /** Moving averages over the reports of all endpoints: requests of other hosts
    * per slot, and the service time factor. The estimate for an endpoint
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -105,7 +105,7 @@
   if (aService.mPool.CountUsable({}, aNow) > 0) {
     return true;
   }
-  const auto returns = aService.mPool.EarliestBackoffEnd(aNow);
+  const auto returns = aService.mPool.EarliestReturn(aNow);
   return returns && *returns <= aNow + MaxWait(aCall, aNow);
 }
 
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -79,6 +79,16 @@
   }
 }
 
+void GatewayEngine::SetCallerHosts(const std::string& aSelf,
+                                   const std::vector<CallerHost>& aHosts,
+                                   TimePoint aNow) {
+  mSelf = aSelf;
+  mCallerHosts = aHosts;
+  for (auto& [name, service] : mServices) {
+    service.mPool.SetCallerHosts(mSelf, mCallerHosts, aNow);
+  }
+}
+
 void GatewayEngine::SetRetryBudget(const RetryBudgetTerms& aTerms,
                                    std::size_t aHosts) {
   mBudgetTerms = aTerms;
@@ -98,6 +108,7 @@
   ServiceState& service =
       mServices.emplace(aName, ServiceState(mDataCentre, seed)).first->second;
   service.mBudget.Configure(mBudgetTerms, mHosts);
+  service.mPool.SetCallerHosts(mSelf, mCallerHosts, mNow);
   return service;
 }
 
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -52,6 +52,10 @@
   void SetProbeBudget(const ProbeBudgetTerms& aTerms, std::size_t aHosts,
                       TimePoint aNow);
 
+  /** Sets the hosts that share the limits of endpoints; see ShareOfLimit(). */
+  void SetCallerHosts(const std::string& aSelf,
+                      const std::vector<CallerHost>& aHosts, TimePoint aNow);
+
   /** Sets whether the view is recent enough to act on. While it is not,
    * requests wait for a short time and are then refused. */
   GatewayActions SetViewFresh(bool aFresh, TimePoint aNow);
@@ -293,6 +297,8 @@
   std::size_t mHosts = 1;
   ProbeBudgetTerms mProbeTerms;
   std::size_t mProbeHosts = 1;
+  std::string mSelf;
+  std::vector<CallerHost> mCallerHosts;
   bool mViewFresh = false;
   bool mAccepting = true;
   TimePoint mNow;
--- a/core/gossip/front_directory.cpp
+++ b/core/gossip/front_directory.cpp
@@ -77,9 +77,10 @@
   return selection.mAddresses;
 }
 
-std::size_t FrontDirectory::CountSelected(TimePoint aNow) {
+std::vector<MemberRecord> FrontDirectory::Selected(TimePoint aNow) {
+  std::vector<MemberRecord> hosts = Candidates();
   std::set<std::string> dataCentres;
-  for (const MemberRecord& host : Candidates()) {
+  for (const MemberRecord& host : hosts) {
     dataCentres.insert(host.mDataCentre);
   }
   std::set<std::string> addresses;
@@ -87,7 +88,10 @@
     const auto selected = Select(dataCentre, aNow);
     addresses.insert(selected.begin(), selected.end());
   }
-  return addresses.size();
+  std::erase_if(hosts, [&addresses](const MemberRecord& aHost) {
+    return !addresses.contains(aHost.mFrontAddress);
+  });
+  return hosts;
 }
 
 }  // namespace papayawheel
--- a/core/gossip/front_directory.h
+++ b/core/gossip/front_directory.h
@@ -34,7 +34,9 @@
 
   /** Number of different hosts that the callers of all data centres are sent
    * to. */
-  std::size_t CountSelected(TimePoint aNow);
+  std::size_t CountSelected(TimePoint aNow) { return Selected(aNow).size(); }
+  /** Those hosts. */
+  std::vector<MemberRecord> Selected(TimePoint aNow);
 
  private:
   struct Selection {
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -147,8 +147,12 @@
     const TimePoint now = mClock.Now();
     mFronts.SetOthers(members);
     mEngine.SetRetryBudget(mSettings.mRetryBudget, aKnown);
-    mEngine.SetProbeBudget(mSettings.mProbeBudget, mFronts.CountSelected(now),
-                           now);
+    std::vector<CallerHost> callerHosts;
+    for (const MemberRecord& host : mFronts.Selected(now)) {
+      callerHosts.push_back(CallerHost{host.mFrontAddress, host.mDataCentre});
+    }
+    mEngine.SetProbeBudget(mSettings.mProbeBudget, callerHosts.size(), now);
+    mEngine.SetCallerHosts(mSettings.mFrontAddress, callerHosts, now);
   });
 }
 
--- a/tests/core/test_endpoint_limit.cpp
+++ b/tests/core/test_endpoint_limit.cpp
@@ -37,8 +37,14 @@
 class LimitFleet {
  public:
   explicit LimitFleet(const Case& aCase) : mCase(aCase) {
+    std::vector<CallerHost> hosts;
     for (std::size_t host = 0; host < aCase.mHosts; ++host) {
       mHosts.push_back(std::make_unique<GatewayHarness>(aCase.mEndpoints));
+      hosts.push_back(CallerHost{fmt::format("h{}", host), "dc"});
+    }
+    for (std::size_t host = 0; host < aCase.mHosts; ++host) {
+      mHosts[host]->Engine().SetCallerHosts(hosts[host].mAddress, hosts,
+                                            mHosts[host]->Time().Now());
     }
   }
 
