Reports: a second copy of a refusal is not taken for a new answer

Operators report a faulty endpoint that wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that ran. It could happen here in two ways, both shown by new rows of "endpoint client: outcome for each kind of response", which failed: a refused request that is sent again to the only endpoint used the same connection, where both answers bear its id; and a refusal without an id, as for a refused probe, counted for the next request on the connection.

A request that was not answered with success is not sent again on its connection, and on a connection in use again every answer must echo the request's id; without it the outcome is unknown.

Also tried, and no fault: an answer that breaks off within its head (status line, header, between headers) ends as malformed, never as an empty success.

--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "core/config/address.h"
 #include "drivers/answer_parser.h"
@@ -47,6 +48,9 @@
  * endpoint that sends more is considered faulty. */
 constexpr std::size_t kMaxLateAnswers = 4;
 
+/** Requests without success after which a connection is not reused. */
+constexpr std::size_t kMaxUnsuccessful = 32;
+
 struct Connection {
   Connection(asio::io_context& aContext, const AnswerLimits& aLimits)
       : mSocket(aContext), mTimer(aContext), mParser(aLimits) {}
@@ -65,6 +69,12 @@
   /** Bytes of its unfinished answer that are included in the total. */
   std::size_t mBufferedBytes = 0;
   std::size_t mLateAnswers = 0;
+  /** Requests that were sent on it. */
+  std::size_t mRequests = 0;
+  /** Echo values of requests that were not answered with success. Such a
+   * request may be sent again, but not on this connection: a second copy of the
+   * first answer could not be told from the answer to the second request. */
+  std::vector<std::string> mUnsuccessful;
   SteadyTime mIdleSince;
   std::chrono::milliseconds mMaxIdle{0};
   std::string mOutgoing;
@@ -164,8 +174,12 @@
     while (!idle.empty()) {
       ConnectionPtr connection = idle.back();
       const auto maxIdle = std::min(connection->mMaxIdle, aRequest.mMaxIdle);
+      const auto& unsuccessful = connection->mUnsuccessful;
+      const bool isRepeated =
+          std::find(unsuccessful.begin(), unsuccessful.end(),
+                    aRequest.mEchoValue) != unsuccessful.end();
       const bool usable = connection->mAddress == aRequest.mAddress &&
-                          now - connection->mIdleSince < maxIdle;
+                          now - connection->mIdleSince < maxIdle && !isRepeated;
       if (usable) {
         idle.pop_back();
         return connection;
@@ -251,6 +265,7 @@
         mPending.at(aConnection->mRequest).mRequest;
     aConnection->mParser.StartAnswer(request.mMethod == "HEAD");
     aConnection->mLateAnswers = 0;
+    ++aConnection->mRequests;
     aConnection->mOutgoing = RenderRequest(request);
     mCounts.mBytesWritten += aConnection->mOutgoing.size();
     aConnection->mWriting = true;
@@ -376,14 +391,21 @@
     }
     const bool succeeded =
         response->mStatus >= kFirstSuccess && response->mStatus <= kLastSuccess;
-    if (!echo && succeeded && !request.mEchoValue.empty()) {
+    // On a connection in use again, any answer without the id may be a second
+    // copy of an earlier one.
+    const bool needsEcho = succeeded || aConnection->mRequests > 1;
+    if (!echo && needsEcho && !request.mEchoValue.empty()) {
       Finish(id, EndpointOutcome::Garbled, nullptr,
              "the answer does not echo the request id");
       return false;
     }
     // If the request is still being written, the endpoint would take the rest
     // of it for the next request.
-    const bool reusable = keeps && aUsed == aSize && !aConnection->mWriting;
+    const bool reusable = keeps && aUsed == aSize && !aConnection->mWriting &&
+                          aConnection->mUnsuccessful.size() < kMaxUnsuccessful;
+    if (!succeeded && !request.mEchoValue.empty()) {
+      aConnection->mUnsuccessful.push_back(request.mEchoValue);
+    }
     if (reusable) {
       aConnection->mMaxIdle = MaxIdle(response->mHeaders);
     }
--- a/tests/drivers/test_endpoint_client.cpp
+++ b/tests/drivers/test_endpoint_client.cpp
@@ -92,6 +92,13 @@
          aBody;
 }
 
+/** A refusal; it echoes no request id if aId is empty. */
+std::string Refusal(const std::string& aId) {
+  return "HTTP/1.1 503 Full\r\n" +
+         (aId.empty() ? "" : "Request-Id: " + aId + "\r\n") +
+         "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 EndpointRequest MakeRequest(const std::string& aAddress,
                             const std::string& aId) {
   EndpointRequest request;
@@ -211,6 +218,52 @@
        {Outcome::Answered},
        {"one"},
        1},
+      // A faulty endpoint writes an earlier refusal once more. The caller must
+      // not be told that a request was refused while it runs.
+      {"a refused request is not repeated on its connection",
+       {Refusal("1"), Reply("1", "one")},
+       false,
+       {"1", "1"},
+       {Outcome::Answered, Outcome::Answered},
+       {"", "one"},
+       2},
+      {"a refusal without request id on a connection in use again",
+       {Reply("1", "one"), Refusal("") + Reply("2", "two")},
+       false,
+       {"1", "2"},
+       {Outcome::Answered, Outcome::Garbled},
+       {"one", ""},
+       1},
+      {"a refusal without request id as the first answer",
+       {Refusal("")},
+       false,
+       {"1"},
+       {Outcome::Answered},
+       {""},
+       1},
+      // An answer that breaks off within its head must not pass for an empty
+      // one.
+      {"the head breaks off within a header",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\nContent-Le"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
+      {"the head breaks off between two headers",
+       {"HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
+      {"the head breaks off within the status line",
+       {"HTTP/1.1 200 OK"},
+       true,
+       {"1"},
+       {Outcome::Garbled},
+       {""},
+       1},
       {"a connection that is closed without a byte",
        {""},
        true,
