Reports: a gateway that is told to stop ends while its metrics are read

A planned stop could hang until the platform killed the process: the control thread waited for figures that the traffic thread, already stopped, never gave.

--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -241,9 +241,11 @@
     }
   }
   Log(LogLevel::Info, "stopped", {{"host", gateway.mName}});
+  // The control thread may wait for figures of the traffic thread, which must
+  // run until then.
   control.Stop();
-  gatewayTraffic.Stop();
   controlThread.join();
+  gatewayTraffic.Stop();
   trafficThread.join();
   return kExitOk;
 }
