--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -36,6 +36,8 @@
   if (const auto limit =
           FindHeader(aResponse.mHeaders, platform::kLimitHeader)) {
     notice.mLimit = platform::ParseLimit(*limit);
+    // A malformed limit says nothing, neither of a limit nor of its end.
+    notice.mSource = notice.mLimit ? aSource : NoticeSource::None;
   }
   const auto leaving =
       FindHeader(aResponse.mHeaders, platform::kDrainingHeader);
--- a/tests/core/test_endpoint_limit.cpp
+++ b/tests/core/test_endpoint_limit.cpp
@@ -70,7 +70,8 @@
     }
     return most;
   }
-  [[nodiscard]] std::size_t Counted() const { return mCounted.size(); }
+  /** Number of requests that reached that endpoint. */
+  [[nodiscard]] std::size_t Arrived() const { return mArrived.at(mLimited); }
   void SetLimit(std::optional<double> aLimit) { mLimit = aLimit; }
 
  private:
@@ -105,8 +106,8 @@
   }
 
   void NoteArrival(std::size_t aHost, const std::string& aEndpoint) {
+    const std::size_t arrived = ++mArrived[aEndpoint];
     if (mNow < kNamedAt) {
-      const std::size_t arrived = ++mArrived[aEndpoint];
       mLimited = arrived >= mArrived[mLimited] ? aEndpoint : mLimited;
     }
     if (aEndpoint != mLimited) {
@@ -139,7 +140,7 @@
   Duration mNow{0};
   double mDue = 0;
   std::map<std::pair<std::size_t, AttemptId>, Duration> mStartedAt;
-  /** Requests that reached each endpoint before one named a limit. */
+  /** Requests that reached each endpoint. */
   std::map<std::string, std::size_t> mArrived;
   std::string mLimited;
   /** When each host was first told of the limit. */
@@ -170,5 +171,83 @@
   }
 }
 
+TEST_CASE("limit: an endpoint is used as before once its limit has ended") {
+  LimitFleet fleet({"few hosts", 4, 6, 2, 60});
+  fleet.Run(seconds(20));
+  const std::size_t limited = fleet.Arrived();
+  CHECK(limited > 0);
+  fleet.SetLimit(std::nullopt);
+  fleet.Run(seconds(20));
+  const std::size_t before = fleet.Arrived();
+  fleet.Run(seconds(10));
+  // A sixth of the requests would be 100; the limit would allow 16.
+  CHECK(fleet.Arrived() - before > 30);
+}
+
+TEST_CASE("limit: the shares of all hosts stay below the limit") {
+  for (const std::size_t count : {1U, 2U, 5U, 20U, 311U}) {
+    for (const double limit : {0.0, 0.3, 1.3, 8.0, 500.0}) {
+      CAPTURE(count);
+      CAPTURE(limit);
+      std::vector<CallerHost> all;
+      for (std::size_t host = 0; host < count; ++host) {
+        all.push_back(CallerHost{fmt::format("h{}", host),
+                                 fmt::format("dc{}", host % 3)});
+      }
+      // Half of the hosts do not know the first third of them.
+      const std::vector<CallerHost> some(
+          all.begin() + static_cast<std::ptrdiff_t>(count / 3), all.end());
+      double agreed = 0;
+      double disagreed = 0;
+      for (std::size_t host = 0; host < count; ++host) {
+        const std::string& self = all[host].mAddress;
+        agreed += ShareOfLimit("e", "dc1", limit, self, all);
+        disagreed +=
+            ShareOfLimit("e", "dc1", limit, self, host % 2 == 0 ? all : some);
+      }
+      CHECK(agreed <= limit);
+      CHECK(disagreed <= 1.5 * limit);
+      CHECK(agreed >= 0.5 * limit);
+    }
+  }
+}
+
+TEST_CASE("limit: it holds until the endpoint starts again") {
+  struct Case {
+    std::string mWhat;
+    std::int64_t mIncarnation;
+    bool mRemovedBetween;
+    bool mUsable;
+  };
+  const std::vector<Case> cases = {
+      {"published again", 1, false, false},
+      {"removed and published again", 1, true, false},
+      {"started again under its id", 2, false, true},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    EndpointEntry entry;
+    entry.mId = "e";
+    entry.mService = "service";
+    entry.mAddress = "10.0.0.1:80";
+    entry.mSlots = 4;
+    entry.mIncarnation = 1;
+    TimePoint now{seconds(100)};
+    EndpointPool pool("dc", 1);
+    pool.Configure({{"e", entry}}, "service", now);
+    EndpointNotice notice;
+    notice.mSource = NoticeSource::Request;
+    notice.mLimit = 0.1;
+    pool.NoteNotice("e", notice, now);
+    CHECK(pool.CountUsable({}, now) == 0);
+    if (one.mRemovedBetween) {
+      pool.Configure({}, "service", now);
+    }
+    entry.mIncarnation = one.mIncarnation;
+    pool.Configure({{"e", entry}}, "service", now);
+    CHECK((pool.CountUsable({}, now) == 1) == one.mUsable);
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/platform/test_protocols.cpp
+++ b/tests/platform/test_protocols.cpp
@@ -84,6 +84,24 @@
   }
 }
 
+TEST_CASE("caller protocol: limits of endpoints") {
+  struct Case {
+    std::string mText;
+    std::optional<double> mLimit;
+  };
+  const std::vector<Case> cases = {
+      {"1.3", 1.3},          {"0", 0.0},
+      {"40", 40.0},          {"", std::nullopt},
+      {"-1", std::nullopt},  {"nan", std::nullopt},
+      {"inf", std::nullopt}, {"1e999", std::nullopt},
+      {"2/s", std::nullopt},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mText);
+    CHECK(ParseLimit(one.mText) == one.mLimit);
+  }
+}
+
 TEST_CASE("caller protocol: resolve requests and answers") {
   const auto request = ParseResolve("/resolve?name=a.example&region=r&zone=z");
   REQUIRE(request);
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -122,6 +122,39 @@
   }
 }
 
+TEST_CASE("gateway messages: the limit that an endpoint names") {
+  struct Case {
+    int mStatus;
+    HeaderList mHeaders;
+    std::optional<double> mLimit;
+    NoticeSource mSource;
+  };
+  const std::vector<Case> cases = {
+      {200, {{"server-limit", "1.3"}}, 1.3, NoticeSource::Request},
+      {503, {{"Server-Limit", "0"}}, 0.0, NoticeSource::Request},
+      {200, {}, std::nullopt, NoticeSource::Request},
+      {200, {{"Server-Limit", "few"}}, std::nullopt, NoticeSource::None},
+      // Another endpoint has the address now.
+      {421, {{"Server-Limit", "2"}}, std::nullopt, NoticeSource::None},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mStatus);
+    EndpointAnswer answer;
+    answer.mOutcome = EndpointOutcome::Answered;
+    answer.mResponse = std::make_shared<Response>();
+    answer.mResponse->mStatus = one.mStatus;
+    answer.mResponse->mHeaders = one.mHeaders;
+    const EndpointNotice notice = ReadEndpointAnswer(answer).mNotice;
+    CHECK(notice.mLimit == one.mLimit);
+    CHECK(notice.mSource == one.mSource);
+    if (one.mLimit) {
+      const EndpointNotice probe = ReadProbeAnswer("i-1", answer).mNotice;
+      CHECK(probe.mLimit == one.mLimit);
+      CHECK(probe.mSource == NoticeSource::Probe);
+    }
+  }
+}
+
 TEST_CASE("gateway messages: what an endpoint asks for") {
   struct Case {
     int mStatus;
