LIMIT: the limit of an endpoint in a class of its own

endpoint_pool.cpp had grown by a job: EndpointLimit keeps one host to its share. No behaviour changes; all tests of limits, endpoints and the gateway pass.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -52,15 +52,6 @@
 constexpr milliseconds kInitialPause{100};
 constexpr std::uint32_t kMaxDoublings = 4;
 
-/** Maximum time between two requests to an endpoint with a limit. Used if the
- * share of this host is very small or zero. */
-constexpr seconds kMaxLimitInterval{3600};
-
-/** A host whose share has just changed waits a random part of an interval, from
- * the first to the second, so that many hosts do not send at the same time. */
-constexpr double kMinFirstInterval = 0.5;
-constexpr double kMaxFirstInterval = 1.5;
-
 /** Maximum number of endpoints whose notices are stored. */
 constexpr std::size_t kMaxNotices = 4096;
 
@@ -145,77 +136,22 @@
   mEndpoints = std::move(next);
 }
 
-void EndpointPool::SetCallerHosts(const std::string& aSelf,
-                                  const std::vector<CallerHost>& aHosts,
-                                  TimePoint aNow) {
-  mSelf = aSelf;
-  mCallerHosts = aHosts;
+void EndpointPool::SetLimitSharers(const LimitSharers& aSharers,
+                                   TimePoint aNow) {
+  mLimitSharers = aSharers;
   for (auto& [id, state] : mEndpoints) {
-    if (state.mLimit) {
-      UpdateLimitShare(state, aNow);
-    }
-  }
-}
-
-void EndpointPool::NoteLimit(State& aState, const EndpointNotice& aNotice,
-                             TimePoint aNow) {
-  const bool isProbe = aNotice.mSource == NoticeSource::Probe;
-  aState.mProbesNameLimit =
-      aState.mProbesNameLimit || (isProbe && aNotice.mLimit.has_value());
-  const bool isSilentProbe =
-      isProbe && !aNotice.mLimit && !aState.mProbesNameLimit;
-  if (aNotice.mSource == NoticeSource::None || isSilentProbe) {
-    return;
-  }
-  if (!aNotice.mLimit) {
-    aState.mLimit.reset();
-    return;
-  }
-  const bool isFirst = !aState.mLimit;
-  const bool hasChanged = aNotice.mLimit != aState.mLimit;
-  aState.mLimit = aNotice.mLimit;
-  if (isFirst) {
-    aState.mLimitShare = 0;
-    aState.mLimitedUntil = TimePoint::max();
-  }
-  if (hasChanged) {
-    UpdateLimitShare(aState, aNow);
+    state.mLimit.UpdateShare(state.mEntry, mLimitSharers, mRandom, aNow);
   }
 }
 
-void EndpointPool::UpdateLimitShare(State& aState, TimePoint aNow) {
-  const double share =
-      ShareOfLimit(aState.mEntry.mId, aState.mEntry.mDataCentre, *aState.mLimit,
-                   mSelf, mCallerHosts);
-  if (share == aState.mLimitShare) {
-    return;
-  }
-  const double part = std::uniform_real_distribution<double>(
-      kMinFirstInterval, kMaxFirstInterval)(mRandom);
-  const TimePoint next = NextByShare(share / part, aNow);
-  const bool grows = share > aState.mLimitShare;
-  aState.mLimitedUntil = grows ? std::min(aState.mLimitedUntil, next)
-                               : std::max(aState.mLimitedUntil, next);
-  aState.mLimitShare = share;
-}
-
-TimePoint EndpointPool::NextByShare(double aShare, TimePoint aNow) {
-  const double max = ToSeconds(kMaxLimitInterval);
-  const double interval = aShare > 0 ? std::min(max, 1 / aShare) : max;
-  return aNow +
-         Duration(static_cast<std::int64_t>(interval * kMicrosPerSecond));
-}
-
 void EndpointPool::RestoreNotice(State& aState, TimePoint aNow) {
   const auto stored = mNotices.find(aState.mEntry.mId);
   if (stored != mNotices.end() &&
       IsSameStart(stored->second.mEntry, aState.mEntry)) {
     aState.mDraining = stored->second.mDraining;
     aState.mBackoffUntil = stored->second.mBackoffUntil;
-    EndpointNotice limit;
-    limit.mLimit = stored->second.mLimit;
-    limit.mSource = NoticeSource::Request;
-    NoteLimit(aState, limit, aNow);
+    aState.mLimit = stored->second.mLimit;
+    aState.mLimit.UpdateShare(aState.mEntry, mLimitSharers, mRandom, aNow);
   }
 }
 
@@ -226,11 +162,11 @@
     return;
   }
   State& state = found->second;
-  const bool hadLimit = state.mLimit.has_value();
-  NoteLimit(state, aNotice, aNow);
+  const auto limitBefore = state.mLimit.Limit();
+  state.mLimit.Note(state.mEntry, aNotice, mLimitSharers, mRandom, aNow);
   const bool isEmpty =
       !aNotice.mDraining && aNotice.mBackoff <= Duration::zero();
-  if (isEmpty && !hadLimit && !state.mLimit) {
+  if (isEmpty && state.mLimit.Limit() == limitBefore) {
     return;
   }
   state.mDraining = state.mDraining || aNotice.mDraining;
@@ -249,7 +185,7 @@
   }
   std::erase_if(mNotices, [&](const auto& aEntry) {
     return !aEntry.second.mDraining && aEntry.second.mBackoffUntil <= aNow &&
-           !aEntry.second.mLimit;
+           !aEntry.second.mLimit.Limit();
   });
   // Unpublished endpoints are the least likely to return.
   for (auto it = mNotices.begin();
@@ -378,10 +314,7 @@
   const auto found = mEndpoints.find(aId);
   if (found != mEndpoints.end()) {
     found->second.mOwnSendTimes.push_back(aNow);
-    if (found->second.mLimit) {
-      found->second.mLimitedUntil =
-          NextByShare(found->second.mLimitShare, aNow);
-    }
+    found->second.mLimit.NoteSent(aNow);
   }
 }
 
@@ -465,8 +398,7 @@
   std::optional<TimePoint> first;
   for (const auto& [id, state] : mEndpoints) {
     const TimePoint returnsAt =
-        state.mLimit ? std::max(state.mBackoffUntil, state.mLimitedUntil)
-                     : state.mBackoffUntil;
+        std::max(state.mBackoffUntil, state.mLimit.NextAt());
     const bool returns =
         !state.mEntry.mDraining && !state.mDraining && returnsAt > aNow;
     if (returns && (!first || returnsAt < *first)) {
@@ -490,7 +422,7 @@
                             TimePoint aNow) const {
   const bool acceptsWork = !aState.mEntry.mDraining && !aState.mDraining &&
                            aNow >= aState.mBackoffUntil &&
-                           (!aState.mLimit || aNow >= aState.mLimitedUntil);
+                           aNow >= aState.mLimit.NextAt();
   const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
                                   aState.mEntry.mId) != aExcluded.end();
   return !excluded && acceptsWork && aNow >= aState.mUsableFrom;
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -10,8 +10,8 @@
 
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_entry.h"
+#include "core/endpoints/endpoint_limit.h"
 #include "core/endpoints/endpoint_notice.h"
-#include "core/endpoints/limit_share.h"
 #include "core/endpoints/load_sample.h"
 
 namespace papayawheel {
@@ -68,10 +68,8 @@
   void Configure(const EndpointMap& aEntries, const std::string& aService,
                  TimePoint aNow);
 
-  /** Sets the hosts among which the limits of endpoints are divided.
-   * @param aSelf this host's address for callers. */
-  void SetCallerHosts(const std::string& aSelf,
-                      const std::vector<CallerHost>& aHosts, TimePoint aNow);
+  /** Sets the hosts among which the limits of endpoints are divided. */
+  void SetLimitSharers(const LimitSharers& aSharers, TimePoint aNow);
 
   /** Returns the endpoint with the lowest estimated time until the answer,
    * adjusted for failures and distance; nothing if none is usable.
@@ -162,14 +160,7 @@
     bool mDraining = false;
     TimePoint mBackoffUntil;
     TimePoint mWarmUpUntil;
-    /** Limit of the endpoint, if it names one, and this host's share of it, in
-     * requests per second. */
-    std::optional<double> mLimit = std::nullopt;
-    double mLimitShare = 0;
-    /** When the share allows the next request. */
-    TimePoint mLimitedUntil;
-    /** Whether its answers to probes name the limit. */
-    bool mProbesNameLimit = false;
+    EndpointLimit mLimit{};
     /** Random relative penalty, which breaks ties between equal endpoints. */
     double mTieBreak = 0;
   };
@@ -179,7 +170,7 @@
     EndpointEntry mEntry;
     bool mDraining = false;
     TimePoint mBackoffUntil;
-    std::optional<double> mLimit = std::nullopt;
+    EndpointLimit mLimit{};
   };
 
   /** Whether the endpoints of the service report their load. */
@@ -220,20 +211,12 @@
   void NoteMissingReport();
   /** Applies stored notices to an endpoint that is published again. */
   void RestoreNotice(State& aState, TimePoint aNow);
-  /** Applies what an answer says of the endpoint's limit. */
-  void NoteLimit(State& aState, const EndpointNotice& aNotice, TimePoint aNow);
-  /** Computes this host's share of an endpoint's limit. */
-  void UpdateLimitShare(State& aState, TimePoint aNow);
-  /** When the next request may follow one that is sent now.
-   * @param aShare requests per second. */
-  static TimePoint NextByShare(double aShare, TimePoint aNow);
   /** Makes room for the notices of one more endpoint. */
   void EvictNotices(TimePoint aNow);
   void NoteFailure(State& aState, bool aUnreachable, TimePoint aNow);
 
   std::string mDataCentre;
-  std::string mSelf;
-  std::vector<CallerHost> mCallerHosts;
+  LimitSharers mLimitSharers;
   std::minstd_rand mRandom;
   /** Moving averages over the reports of all endpoints: requests of other hosts
    * per slot, and the service time factor. The estimate for an endpoint
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -79,13 +79,10 @@
   }
 }
 
-void GatewayEngine::SetCallerHosts(const std::string& aSelf,
-                                   const std::vector<CallerHost>& aHosts,
-                                   TimePoint aNow) {
-  mSelf = aSelf;
-  mCallerHosts = aHosts;
+void GatewayEngine::SetLimitSharers(LimitSharers aSharers, TimePoint aNow) {
+  mLimitSharers = std::move(aSharers);
   for (auto& [name, service] : mServices) {
-    service.mPool.SetCallerHosts(mSelf, mCallerHosts, aNow);
+    service.mPool.SetLimitSharers(mLimitSharers, aNow);
   }
 }
 
@@ -108,7 +105,7 @@
   ServiceState& service =
       mServices.emplace(aName, ServiceState(mDataCentre, seed)).first->second;
   service.mBudget.Configure(mBudgetTerms, mHosts);
-  service.mPool.SetCallerHosts(mSelf, mCallerHosts, mNow);
+  service.mPool.SetLimitSharers(mLimitSharers, mNow);
   return service;
 }
 
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -53,8 +53,7 @@
                       TimePoint aNow);
 
   /** Sets the hosts that share the limits of endpoints; see ShareOfLimit(). */
-  void SetCallerHosts(const std::string& aSelf,
-                      const std::vector<CallerHost>& aHosts, TimePoint aNow);
+  void SetLimitSharers(LimitSharers aSharers, TimePoint aNow);
 
   /** Sets whether the view is recent enough to act on. While it is not,
    * requests wait for a short time and are then refused. */
@@ -297,8 +296,7 @@
   std::size_t mHosts = 1;
   ProbeBudgetTerms mProbeTerms;
   std::size_t mProbeHosts = 1;
-  std::string mSelf;
-  std::vector<CallerHost> mCallerHosts;
+  LimitSharers mLimitSharers;
   bool mViewFresh = false;
   bool mAccepting = true;
   TimePoint mNow;
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -147,12 +147,13 @@
     const TimePoint now = mClock.Now();
     mFronts.SetOthers(members);
     mEngine.SetRetryBudget(mSettings.mRetryBudget, aKnown);
-    std::vector<CallerHost> callerHosts;
+    LimitSharers sharers{mSettings.mFrontAddress, {}};
     for (const MemberRecord& host : mFronts.Selected(now)) {
-      callerHosts.push_back(CallerHost{host.mFrontAddress, host.mDataCentre});
+      sharers.mHosts.push_back(
+          CallerHost{host.mFrontAddress, host.mDataCentre});
     }
-    mEngine.SetProbeBudget(mSettings.mProbeBudget, callerHosts.size(), now);
-    mEngine.SetCallerHosts(mSettings.mFrontAddress, callerHosts, now);
+    mEngine.SetProbeBudget(mSettings.mProbeBudget, sharers.mHosts.size(), now);
+    mEngine.SetLimitSharers(std::move(sharers), now);
   });
 }
 
--- a/tests/core/test_endpoint_limit.cpp
+++ b/tests/core/test_endpoint_limit.cpp
@@ -43,8 +43,9 @@
       hosts.push_back(CallerHost{fmt::format("h{}", host), "dc"});
     }
     for (std::size_t host = 0; host < aCase.mHosts; ++host) {
-      mHosts[host]->Engine().SetCallerHosts(hosts[host].mAddress, hosts,
-                                            mHosts[host]->Time().Now());
+      mHosts[host]->Engine().SetLimitSharers(
+          LimitSharers{hosts[host].mAddress, hosts},
+          mHosts[host]->Time().Now());
     }
   }
 
