--- a/tests/core/test_gossip_engine.cpp
+++ b/tests/core/test_gossip_engine.cpp
@@ -1,7 +1,6 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <utility>
 
 #include "tests/core/gossip_fleet.h"
 
@@ -109,16 +108,20 @@
   engine.Tick(now);
   age = milliseconds(400);
   now += milliseconds(390);
-  const std::vector<std::pair<std::string, Datagrams>> sent = {
+  struct Case {
+    std::string mWhat;
+    Datagrams mSent;
+  };
+  const std::vector<Case> cases = {
       {"load", engine.SetLoad(HostLoad{1000, 0}, now)},
       {"announcement", engine.Announce()},
       {"change", engine.BroadcastView(true)},
       {"confirmation", engine.BroadcastConfirmation()},
       {"passed on", engine.PassViewOn()}};
-  for (const auto& [what, datagrams] : sent) {
-    CAPTURE(what);
-    REQUIRE(datagrams.size() == 1);
-    CHECK(datagrams[0].mMessage.mView.mAge == age);
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    REQUIRE(one.mSent.size() == 1);
+    CHECK(one.mSent[0].mMessage.mView.mAge == age);
   }
 }
 
