CONFIG: a pull brings the id of the confirmation too

A confirmation that came with a pull had no id, so hosts could still renew it by telling each other of it. The transfer carries the id now (earlier versions send none). After a suspension the first watch is always a short one. All view and gossip tests pass.

--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -213,7 +213,7 @@
 
 std::vector<StoreChange> ViewSynchronizer::FinishPull(
     const std::optional<StoreDelta>& aDelta, std::optional<Duration> aAge,
-    TimePoint aNow) {
+    std::uint64_t aConfirmation, TimePoint aNow) {
   mPulling = false;
   if (!aDelta || (!aDelta->mFull && !mView.IsLoaded())) {
     return {};
@@ -222,7 +222,7 @@
   mNeedsFullRead = false;
   if (aAge) {
     // The age was that of the moment when the other host answered.
-    Confirm(mPullAt - *aAge, 0, aNow);
+    Confirm(mPullAt - *aAge, aConfirmation, aNow);
   }
   if (mAnnouncedNewest > 0 && mView.AsOf() >= mAnnouncedNewest) {
     Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
@@ -296,6 +296,8 @@
 void ViewSynchronizer::Invalidate(TimePoint aNow) {
   mInvalidatedAt = aNow;
   mConfirmedAt.reset();
+  // The next watch is a short one, as its answer is needed soon.
+  mAnsweredAt.reset();
   mStartedAt = aNow - kStartGrace;
   mStoreCallPending = false;
   mPulling = false;
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -76,9 +76,11 @@
   /** A pull has ended. Returns the changes that were not known yet.
    * @param aDelta what the other host sent; empty if the pull failed.
    * @param aAge time since the other host's view was last confirmed; empty if
-   * it is not confirmed. */
+   * it is not confirmed.
+   * @param aConfirmation see ViewSummary::mConfirmation. */
   std::vector<StoreChange> FinishPull(const std::optional<StoreDelta>& aDelta,
                                       std::optional<Duration> aAge,
+                                      std::uint64_t aConfirmation,
                                       TimePoint aNow);
   /** Returns a pull from another host after a pull that failed or left out
    * changes that were announced during it; empty if there is no other source.
--- a/servers/gateway_control_api.cpp
+++ b/servers/gateway_control_api.cpp
@@ -25,8 +25,9 @@
         mSynchronizer.ServePull(QueryNumber(aExchange->Target(), "after"), now);
     if (delta) {
       ++(delta->mFull ? mCounts.mCopiesServed : mCounts.mDeltasServed);
+      const ViewSummary summary = mSynchronizer.Summary(now);
       reply.mBody =
-          EncodeView(ViewTransfer{*delta, mSynchronizer.Summary(now).mAge});
+          EncodeView(ViewTransfer{*delta, summary.mAge, summary.mConfirmation});
       reply.mMayCompress = true;
     } else {
       ++mCounts.mPullsRefused;
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -125,11 +125,13 @@
     auto transfer = answered ? DecodeView(aResult.mBody) : std::nullopt;
     std::optional<StoreDelta> delta;
     std::optional<Duration> age;
+    const std::uint64_t confirmation = transfer ? transfer->mConfirmation : 0;
     if (transfer) {
       delta = std::move(transfer->mDelta);
       age = transfer->mAge;
     }
-    const auto changes = mSynchronizer.FinishPull(delta, age, mClock.Now());
+    const auto changes =
+        mSynchronizer.FinishPull(delta, age, confirmation, mClock.Now());
     ApplyChanges(changes, pull.mAddress);
     if (delta && changes.empty()) {
       // The other host had announced a newer view.
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -273,6 +273,7 @@
   const Json document = {{"full", aTransfer.mDelta.mFull},
                          {"as_of", aTransfer.mDelta.mAsOf},
                          {"age_us", RenderAge(aTransfer.mAge)},
+                         {"confirmation", aTransfer.mConfirmation},
                          {"changes", changes},
                          {"gaps", gaps}};
   // Values that others wrote to the store may not be valid UTF-8.
@@ -286,6 +287,8 @@
     transfer.mDelta.mFull = document.at("full").get<bool>();
     transfer.mDelta.mAsOf = document.at("as_of").get<std::uint64_t>();
     transfer.mAge = ParseAge(document.at("age_us"));
+    // Earlier versions of the program send none.
+    transfer.mConfirmation = document.value("confirmation", std::uint64_t{0});
     for (const Json& change : document.at("changes")) {
       transfer.mDelta.mChanges.push_back(ParseChange(change));
     }
--- a/servers/gossip_codec.h
+++ b/servers/gossip_codec.h
@@ -24,6 +24,8 @@
   StoreDelta mDelta;
   /** Time since the sender's view was confirmed; empty if it is not. */
   std::optional<Duration> mAge;
+  /** See ViewSummary::mConfirmation. */
+  std::uint64_t mConfirmation = 0;
 };
 
 /** Encodes a transfer as JSON. */
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -359,7 +359,7 @@
                   [this, aHost, epoch] { PullFailed(aHost, epoch); });
     return;
   }
-  const auto age = source.Summary(now).mAge;
+  const ViewSummary summary = source.Summary(now);
   // The answers of one host are sent one after the other over its link.
   TimePoint& busyUntil = mHosts[peer].mLinkBusyUntil;
   const std::chrono::duration<double> sending(
@@ -373,10 +373,10 @@
                   [this, aHost, epoch] { PullFailed(aHost, epoch); });
     return;
   }
-  mEvents.At(arrives, [this, aHost, epoch, delta = *offered, age] {
+  mEvents.At(arrives, [this, aHost, epoch, delta = *offered, summary] {
     if (IsUp(aHost, epoch)) {
-      const auto changes =
-          mHosts[aHost].mSynchronizer->FinishPull(delta, age, mEvents.Now());
+      const auto changes = mHosts[aHost].mSynchronizer->FinishPull(
+          delta, summary.mAge, summary.mConfirmation, mEvents.Now());
       Act(aHost,
           mHosts[aHost].mSynchronizer->PullFromNextSource(mEvents.Now()));
       ViewUpdated(aHost, !changes.empty(), false);
@@ -387,7 +387,7 @@
 void GossipFleet::PullFailed(std::size_t aHost, std::uint64_t aEpoch) {
   if (IsUp(aHost, aEpoch)) {
     ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
-    synchronizer.FinishPull(std::nullopt, std::nullopt, mEvents.Now());
+    synchronizer.FinishPull(std::nullopt, std::nullopt, 0, mEvents.Now());
     Act(aHost, synchronizer.PullFromNextSource(mEvents.Now()));
   }
 }
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -65,7 +65,7 @@
   ViewSynchronizer synchronizer(kStart, 1, false);
   CHECK_FALSE(synchronizer.IsViewFresh(kStart));
   synchronizer.FinishPull(StoreDelta{true, 5, {{"key", 4, "x"}}},
-                          milliseconds(100), kStart + milliseconds(50));
+                          milliseconds(100), 1, kStart + milliseconds(50));
   // The other host's view was last confirmed before this process started.
   CHECK_FALSE(synchronizer.IsViewFresh(kStart + milliseconds(50)));
   synchronizer.NotePeerSummary("peer", ViewSummary{4, 5, milliseconds(0)},
@@ -91,6 +91,9 @@
     now += milliseconds(20);
     one.NotePeerSummary("other", fromOther, now);
   }
+  const StoreDelta nothing{false, 5, {}};
+  other.FinishPull(nothing, one.Summary(now).mAge,
+                   one.Summary(now).mConfirmation, now);
   CHECK(*one.Summary(now).mAge == now - kStart);
   CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
 }
@@ -113,7 +116,8 @@
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
   other.FinishPull(started.ServePull(pull.mAfter, now),
-                   started.Summary(now).mAge, now);
+                   started.Summary(now).mAge,
+                   started.Summary(now).mConfirmation, now);
   CHECK_FALSE(other.View().Items().at("removed").mValue);
   // Neither host asks the other one again.
   CHECK(other.NotePeerSummary("started", started.Summary(now), now).empty());
@@ -142,7 +146,8 @@
     for (const ViewAction& action : actions) {
       if (const auto* const pull = std::get_if<PullView>(&action)) {
         const auto delta = reader.ServePull(pull->mAfter, now);
-        other.FinishPull(delta, reader.Summary(now).mAge, now);
+        other.FinishPull(delta, reader.Summary(now).mAge,
+                         reader.Summary(now).mConfirmation, now);
       }
     }
   };
--- a/tests/fuzz/fuzz_gossip.cpp
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -42,7 +42,8 @@
     return;
   }
   ViewSynchronizer synchronizer(kNow, 1, true);
-  synchronizer.FinishPull(transfer->mDelta, transfer->mAge, kNow);
+  synchronizer.FinishPull(transfer->mDelta, transfer->mAge,
+                          transfer->mConfirmation, kNow);
   synchronizer.ServePull(0, kNow);
   static_cast<void>(synchronizer.Summary(kNow));
 }
