Reports: numbers of other programs that do not fit are rejected

The library converts it, which is undefined for -73.4 as an unsigned number and ends a build with checks. The same held for the store's revisions. All integers of gossip, transfers and the store's pages are read with a check of type and range now, and an age below zero, which would have confirmed a view in the future, counts as zero. "gossip codec: numbers that do not fit are rejected" covers each number of a message.

--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/base/rendezvous.h"
+#include "drivers/json_number.h"
 
 namespace papayawheel {
 namespace {
@@ -112,17 +113,17 @@
   MemberRecord record;
   record.mName = aRecord.at(0).get<std::string>();
   if (aRecord.size() == kBriefFieldCount) {
-    record.mIncarnation = aRecord.at(1).get<std::uint64_t>();
-    record.mVersion = aRecord.at(2).get<std::uint32_t>();
+    record.mIncarnation = ParseInteger<std::uint64_t>(aRecord.at(1));
+    record.mVersion = ParseInteger<std::uint32_t>(aRecord.at(2));
     return record;
   }
   record.mDataCentre = aRecord.at(1).get<std::string>();
   record.mGossipAddress = aRecord.at(2).get<std::string>();
   record.mControlAddress = aRecord.at(3).get<std::string>();
   record.mFrontAddress = aRecord.at(4).get<std::string>();
-  record.mIncarnation = aRecord.at(5).get<std::uint64_t>();
-  record.mVersion = aRecord.at(6).get<std::uint32_t>();
-  record.mState = static_cast<MemberState>(aRecord.at(7).get<int>());
+  record.mIncarnation = ParseInteger<std::uint64_t>(aRecord.at(5));
+  record.mVersion = ParseInteger<std::uint32_t>(aRecord.at(6));
+  record.mState = static_cast<MemberState>(ParseInteger<int>(aRecord.at(7)));
   record.mStoreFailing = aRecord.at(8).get<bool>();
   if (aRecord.size() > kCapacityField) {
     const Json& capacity = aRecord.at(kCapacityField);
@@ -141,13 +142,13 @@
 
 /** Parses an age or a duration from another host, in microseconds. */
 Duration ParseElapsed(const Json& aElapsed) {
-  return std::clamp(Duration(aElapsed.get<std::int64_t>()), Duration::zero(),
-                    kMaxElapsed);
+  return std::clamp(Duration(ParseInteger<std::int64_t>(aElapsed)),
+                    Duration::zero(), kMaxElapsed);
 }
 
 CrashRecord ParseCrash(const Json& aCrash) {
   CrashRecord record;
-  record.mFingerprint = aCrash.at(0).get<std::uint64_t>();
+  record.mFingerprint = ParseInteger<std::uint64_t>(aCrash.at(0));
   record.mEndpoint = aCrash.at(1).get<std::string>();
   if (aCrash.size() == kLegacyCrashFieldCount) {
     record.mId =
@@ -155,12 +156,13 @@
     record.mOrigin = record.mId;
     return record;
   }
-  record.mId = aCrash.at(2).get<std::uint64_t>();
+  record.mId = ParseInteger<std::uint64_t>(aCrash.at(2));
   record.mEndedAgo = ParseElapsed(aCrash.at(3));
   record.mAttemptDuration = ParseElapsed(aCrash.at(4));
-  record.mOrigin = aCrash.at(5).get<std::uint64_t>();
-  record.mOriginTime = std::clamp(Duration(aCrash.at(6).get<std::int64_t>()),
-                                  Duration::zero(), kMaxOriginTime);
+  record.mOrigin = ParseInteger<std::uint64_t>(aCrash.at(5));
+  record.mOriginTime =
+      std::clamp(Duration(ParseInteger<std::int64_t>(aCrash.at(6))),
+                 Duration::zero(), kMaxOriginTime);
   return record;
 }
 
@@ -173,7 +175,7 @@
   if (aAge.is_null()) {
     return std::nullopt;
   }
-  return Duration(aAge.get<std::int64_t>());
+  return ParseElapsed(aAge);
 }
 
 Json RenderChange(const StoreChange& aChange) {
@@ -185,7 +187,7 @@
 StoreChange ParseChange(const Json& aChange) {
   StoreChange change;
   change.mKey = aChange.at(0).get<std::string>();
-  change.mRevision = aChange.at(1).get<std::uint64_t>();
+  change.mRevision = ParseInteger<std::uint64_t>(aChange.at(1));
   if (!aChange.at(2).is_null()) {
     change.mValue = aChange.at(2).get<std::string>();
   }
@@ -223,14 +225,15 @@
   }
   try {
     const Json parsed = Json::from_msgpack(aDatagram);
-    if (parsed.at(0).get<int>() != kVersion) {
+    if (ParseInteger<int>(parsed.at(0)) != kVersion) {
       return std::nullopt;
     }
     GossipMessage message;
-    message.mKind = static_cast<GossipMessage::Kind>(parsed.at(1).get<int>());
+    message.mKind =
+        static_cast<GossipMessage::Kind>(ParseInteger<int>(parsed.at(1)));
     message.mSender = ParseRecord(parsed.at(2));
-    message.mView.mNewest = parsed.at(3).get<std::uint64_t>();
-    message.mView.mAsOf = parsed.at(4).get<std::uint64_t>();
+    message.mView.mNewest = ParseInteger<std::uint64_t>(parsed.at(3));
+    message.mView.mAsOf = ParseInteger<std::uint64_t>(parsed.at(4));
     message.mView.mAge = ParseAge(parsed.at(5));
     for (const Json& record : parsed.at(6)) {
       message.mRecords.push_back(ParseRecord(record));
@@ -247,13 +250,14 @@
           HostLoad{ParseQuantity(load.at(0)), ParseQuantity(load.at(1))};
     }
     if (parsed.size() > kCrashDigestField) {
-      message.mCrashDigest = parsed.at(kCrashDigestField).get<std::uint64_t>();
+      message.mCrashDigest =
+          ParseInteger<std::uint64_t>(parsed.at(kCrashDigestField));
     }
     message.mPassViewOn = parsed.size() > kPassViewOnField &&
                           parsed.at(kPassViewOnField).get<bool>();
     if (parsed.size() > kConfirmationField) {
       message.mView.mConfirmation =
-          parsed.at(kConfirmationField).get<std::uint64_t>();
+          ParseInteger<std::uint64_t>(parsed.at(kConfirmationField));
     }
     return message;
   } catch (const std::exception&) {
@@ -285,7 +289,7 @@
     const Json document = Json::parse(aText);
     ViewTransfer transfer;
     transfer.mDelta.mFull = document.at("full").get<bool>();
-    transfer.mDelta.mAsOf = document.at("as_of").get<std::uint64_t>();
+    transfer.mDelta.mAsOf = ParseInteger<std::uint64_t>(document.at("as_of"));
     transfer.mAge = ParseAge(document.at("age_us"));
     // Earlier versions of the program send none.
     transfer.mConfirmation = document.value("confirmation", std::uint64_t{0});
@@ -293,8 +297,9 @@
       transfer.mDelta.mChanges.push_back(ParseChange(change));
     }
     for (const Json& gap : document.at("gaps")) {
-      transfer.mDelta.mGaps.push_back(StoreGap{gap.at(0).get<std::uint64_t>(),
-                                               gap.at(1).get<std::uint64_t>()});
+      transfer.mDelta.mGaps.push_back(
+          StoreGap{ParseInteger<std::uint64_t>(gap.at(0)),
+                   ParseInteger<std::uint64_t>(gap.at(1))});
     }
     return transfer;
   } catch (const std::exception&) {
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -211,6 +211,33 @@
   CHECK_FALSE(DecodeGossip(""));
 }
 
+TEST_CASE("gossip codec: numbers that do not fit are rejected") {
+  // Guards against conversions that are undefined, and against an age below
+  // zero, which would confirm a view in the future.
+  GossipMessage message;
+  message.mSender.mName = "h1";
+  message.mView = ViewSummary{4, 5, milliseconds(20), 7};
+  const auto valid = nlohmann::json::from_msgpack(EncodeGossip(message));
+  for (const std::size_t field : {0U, 1U, 3U, 4U, 5U, 11U, 13U}) {
+    for (const nlohmann::json& number :
+         {nlohmann::json(-73.4), nlohmann::json(1e300), nlohmann::json("4")}) {
+      CAPTURE(field);
+      auto changed = valid;
+      changed[field] = number;
+      std::string datagram;
+      nlohmann::json::to_msgpack(changed, datagram);
+      CHECK_FALSE(DecodeGossip(datagram));
+    }
+  }
+  auto early = valid;
+  early[5] = -5'000'000;
+  std::string datagram;
+  nlohmann::json::to_msgpack(early, datagram);
+  const auto decoded = DecodeGossip(datagram);
+  REQUIRE(decoded);
+  CHECK(*decoded->mView.mAge == milliseconds(0));
+}
+
 TEST_CASE("gateway messages: refusals state when to retry") {
   GatewayAnswer answer;
   answer.mError = ErrorKind::Overloaded;
