One loop for the earliest return of an endpoint; a count without callers is gone

EarliestBackoffEnd and EarliestReturn walked the endpoints in the same way, with another time. FrontDirectory::CountSelected had no caller left since Selected() came.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -73,6 +73,24 @@
   return std::chrono::duration_cast<Duration>(aNow - aThen);
 }
 
+/** Returns the earliest time after aNow at which an endpoint that is not
+ * draining returns; nothing if none does.
+ * @param aReturnsAt gives the time for the state of an endpoint. */
+template <typename States, typename ReturnsAt>
+std::optional<TimePoint> EarliestAfter(TimePoint aNow, const States& aStates,
+                                       const ReturnsAt& aReturnsAt) {
+  std::optional<TimePoint> first;
+  for (const auto& [id, state] : aStates) {
+    const TimePoint returnsAt = aReturnsAt(state);
+    const bool returns =
+        !state.mEntry.mDraining && !state.mDraining && returnsAt > aNow;
+    if (returns && (!first || returnsAt < *first)) {
+      first = returnsAt;
+    }
+  }
+  return first;
+}
+
 }  // namespace
 
 std::string_view AttemptResultName(AttemptResult aResult) {
@@ -383,29 +401,15 @@
 
 std::optional<TimePoint> EndpointPool::EarliestBackoffEnd(
     TimePoint aNow) const {
-  std::optional<TimePoint> first;
-  for (const auto& [id, state] : mEndpoints) {
-    const bool returns = !state.mEntry.mDraining && !state.mDraining &&
-                         state.mBackoffUntil > aNow;
-    if (returns && (!first || state.mBackoffUntil < *first)) {
-      first = state.mBackoffUntil;
-    }
-  }
-  return first;
+  return EarliestAfter(aNow, mEndpoints, [](const State& aState) {
+    return aState.mBackoffUntil;
+  });
 }
 
 std::optional<TimePoint> EndpointPool::EarliestReturn(TimePoint aNow) const {
-  std::optional<TimePoint> first;
-  for (const auto& [id, state] : mEndpoints) {
-    const TimePoint returnsAt =
-        std::max(state.mBackoffUntil, state.mLimit.NextAt());
-    const bool returns =
-        !state.mEntry.mDraining && !state.mDraining && returnsAt > aNow;
-    if (returns && (!first || returnsAt < *first)) {
-      first = returnsAt;
-    }
-  }
-  return first;
+  return EarliestAfter(aNow, mEndpoints, [](const State& aState) {
+    return std::max(aState.mBackoffUntil, aState.mLimit.NextAt());
+  });
 }
 
 bool EndpointPool::IsKnownFull(const State& aState, Duration aWork,
--- a/core/gossip/front_directory.h
+++ b/core/gossip/front_directory.h
@@ -32,10 +32,7 @@
   std::vector<std::string> Select(const std::string& aDataCentre,
                                   TimePoint aNow);
 
-  /** Number of different hosts that the callers of all data centres are sent
-   * to. */
-  std::size_t CountSelected(TimePoint aNow) { return Selected(aNow).size(); }
-  /** Those hosts. */
+  /** The hosts that the callers of any data centre are sent to. */
   std::vector<MemberRecord> Selected(TimePoint aNow);
 
  private:
