CONFIG: logs tell the era of each answer of the store and the view's revision

The logs could not tell whether an answer was dropped as old or lacked the change: neither the era nor what became of the view was in them.

--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -20,11 +20,19 @@
 constexpr milliseconds kReadTimeout{1000};
 constexpr milliseconds kPullTimeout{600};
 
-void LogStoreAnswer(std::string_view aCall, const StoreDelta& aDelta) {
+std::uint64_t EraOf(const HttpResult& aResult) {
+  return platform::ParseEra(aResult.Header(std::string(platform::kEraHeader)));
+}
+
+/** @param aView the view to which the answer was applied. */
+void LogStoreAnswer(std::string_view aCall, const StoreDelta& aDelta,
+                    std::uint64_t aEra, const StoreView& aView) {
   Log(LogLevel::Info, "store_answered",
       {{"call", aCall},
+       {"era", aEra},
        {"as_of", aDelta.mAsOf},
-       {"changes", aDelta.mChanges.size()}});
+       {"changes", aDelta.mChanges.size()},
+       {"view_as_of", aView.AsOf()}});
 }
 
 }  // namespace
@@ -62,8 +70,9 @@
     ReadPage(std::move(aSoFar), page->mLastKey);
     return;
   }
-  LogStoreAnswer("read", aSoFar);
-  ApplyChanges(mSynchronizer.StoreAnswered(aSoFar, mClock.Now()), "read");
+  const auto changes = mSynchronizer.StoreAnswered(aSoFar, mClock.Now());
+  LogStoreAnswer("read", aSoFar, EraOf(aResult), mSynchronizer.View());
+  ApplyChanges(changes, "read");
   RunIteration();
 }
 
@@ -93,9 +102,9 @@
     StoreCallFailed(aResult, StoreFailure::NoAnswer);
     return;
   }
-  LogStoreAnswer("watch", page->mDelta);
-  ApplyChanges(mSynchronizer.StoreAnswered(page->mDelta, mClock.Now()),
-               "watch");
+  const auto changes = mSynchronizer.StoreAnswered(page->mDelta, mClock.Now());
+  LogStoreAnswer("watch", page->mDelta, EraOf(aResult), mSynchronizer.View());
+  ApplyChanges(changes, "watch");
   RunIteration();
 }
 
@@ -105,6 +114,7 @@
     Log(LogLevel::Warning, "store_lost",
         {{"status", aResult.mStatus},
          {"result", static_cast<int>(aResult.mKind)},
+         {"era", EraOf(aResult)},
          {"revision", mSynchronizer.View().Newest()}});
   }
   mWasStoreFailing = true;
--- a/tests/platform/test_protocols.cpp
+++ b/tests/platform/test_protocols.cpp
@@ -37,6 +37,18 @@
   CHECK_FALSE(page->mDelta.mChanges[1].mValue);
 }
 
+TEST_CASE("store protocol: the era of an answer") {
+  struct Case {
+    const char* mText;
+    std::uint64_t mEra;
+  };
+  for (const Case& one : {Case{"3", 3}, Case{"", 0}, Case{"-1", 0},
+                          Case{"2x", 0}, Case{"99999999999999999999", 0}}) {
+    CAPTURE(one.mText);
+    CHECK(ParseEra(one.mText) == one.mEra);
+  }
+}
+
 TEST_CASE("store protocol: malformed answers are rejected") {
   for (const char* const text :
        {"", "[]", "{}", R"({"items":[]})", R"({"items":{},"as-of":"x"})",
