--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -25,6 +25,14 @@
   /** Writes a key of the store and returns the revision of the change.
    * @param aBytes size of the value that is written. */
   std::uint64_t Publish(std::size_t aBytes = 8);
+  /** Writes or removes one key of the store. */
+  void Write(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+  /** Takes a copy of the store, which RestoreStore() brings back. */
+  void CopyStore();
+  /** The store comes back from its copy: what was written since is gone, and
+   * its revisions are given out again. */
+  void RestoreStore();
   /** Adds a number of keys with values of a size. */
   void Fill(std::size_t aKeys, std::size_t aBytes);
   /** The store discards the history of its changes, so that reads since an
@@ -46,6 +54,9 @@
 
   [[nodiscard]] std::size_t Size() const { return mHosts.size(); }
   [[nodiscard]] bool Knows(std::size_t aHost, std::uint64_t aRevision) const;
+  /** Whether a host holds this value of a key; empty if the key is removed. */
+  [[nodiscard]] bool Holds(std::size_t aHost, const std::string& aKey,
+                           const std::optional<std::string>& aValue) const;
   [[nodiscard]] bool IsTrusted(std::size_t aHost) const;
   [[nodiscard]] std::size_t ReachableFrom(std::size_t aHost) const;
   [[nodiscard]] bool Reaches(std::size_t aFrom, std::size_t aTo) const;
@@ -58,6 +69,10 @@
   std::optional<Duration> TimeUntilKnown(
       std::uint64_t aRevision, Duration aLimit,
       const std::vector<std::size_t>& aExcept);
+  /** Runs until all hosts that are up hold a value of a key; see Holds(). */
+  std::optional<Duration> TimeUntilHeld(
+      const std::string& aKey, const std::optional<std::string>& aValue,
+      Duration aLimit);
 
  private:
   struct Host {
@@ -91,6 +106,12 @@
   static std::string AddressOf(std::size_t aHost);
   static std::size_t IndexOf(const std::string& aAddress);
   void Start(std::size_t aHost);
+  /** Replaces or removes a key and answers the watches that wait. */
+  void Change(const std::string& aKey, std::optional<std::string> aValue);
+  /** Runs until a condition holds for all hosts. Returns the time that took, or
+   * nothing if it took longer than the limit. */
+  std::optional<Duration> TimeUntilAll(
+      const std::function<bool(std::size_t)>& aCondition, Duration aLimit);
   void RunIteration(std::size_t aHost);
   void Schedule(std::size_t aHost);
   void Send(std::size_t aFrom, const papayawheel::Datagrams& aDatagrams);
@@ -113,6 +134,8 @@
   /** The keys in the order of their last writes. */
   std::vector<StoreChange> mContent;
   std::uint64_t mHistoryFrom = 0;
+  std::vector<StoreChange> mCopiedContent;
+  std::uint64_t mCopiedRevision = 1;
   double mBytesPerSecond = 1e9;
   std::vector<PendingRead> mPendingReads;
   std::uint64_t mRevision = 1;
