CONFIG: revisions of the store belong to an era; what it lost stays in force

Cause: the view was ordered by revisions of two histories. A full read with a lower revision was dropped and yet confirmed the view, the watch from the old revision got 410, and a change with a revision that was given out again counted as known. Class: a number compared without what it counts in; an answer that was not applied taken for evidence.

Ruled out: a copy without the change (the logs show revision 35 of era 2 to be the change), a change that readers had and did not pass on (no host had it).

Change: views, deltas, pulls, summaries, announcements, reads of several pages and confirmations carry the era. A read of a later era replaces the view. What the store lost stays in force while the store holds an earlier write of the same writer (the version of a configuration, the start and sequence of an endpoint): on hosts that knew it, and on those that start later, which learn of it by a digest in each summary. A removal that the store lost holds for 10 s; by then the store has dropped an entry that nobody renews. The stand-in of the store takes and restores copies.

--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -59,6 +59,11 @@
    * A host that hears of the same answer again must not take it for a new one,
    * as each hop adds its delay. */
   std::uint64_t mConfirmation = 0;
+  /** The era of the store that the revisions belong to; see StoreDelta::mEra.
+   */
+  std::uint64_t mEra = 0;
+  /** Digest of the changes in force that the store has lost; 0 for none. */
+  std::uint64_t mLostDigest = 0;
 };
 
 /** Content of one datagram between two hosts. */
--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace papayawheel {
 namespace {
@@ -21,18 +22,49 @@
 
 std::size_t TransferSize(const StoreDelta& aDelta) {
   std::size_t bytes = 0;
-  for (const StoreChange& change : aDelta.mChanges) {
-    bytes += kBytesPerChange + change.mKey.size();
-    bytes += change.mValue ? change.mValue->size() : 0;
+  for (const auto* const changes : {&aDelta.mChanges, &aDelta.mLost}) {
+    for (const StoreChange& change : *changes) {
+      bytes += kBytesPerChange + change.mKey.size();
+      bytes += change.mValue ? change.mValue->size() : 0;
+    }
   }
   return bytes;
 }
 
-std::vector<StoreChange> StoreView::Apply(const StoreDelta& aDelta) {
-  std::vector<StoreChange> applied;
-  if (aDelta.mFull && mLoaded && aDelta.mAsOf < mAsOf) {
-    return applied;
+StoreView::StoreView(WriteOrderReader aReadOrder)
+    : mLost(std::move(aReadOrder)) {}
+
+std::vector<StoreChange> StoreView::Apply(const StoreDelta& aDelta,
+                                          bool aMayHaveExpired) {
+  const bool isNewEra = mLoaded && aDelta.mEra > mEra;
+  const bool isOlderCopy =
+      mLoaded && aDelta.mFull && !isNewEra && aDelta.mAsOf < mAsOf;
+  const bool isOlderEra = mLoaded && aDelta.mEra < mEra;
+  if (isOlderEra || isOlderCopy || (isNewEra && !aDelta.mFull)) {
+    return {};
+  }
+  if (!mLoaded) {
+    mEra = aDelta.mEra;
+  }
+  std::vector<StoreChange> applied =
+      isNewEra ? BeginEra(aDelta) : ApplyChanges(aDelta, aMayHaveExpired);
+  for (const StoreChange& lost : aDelta.mLost) {
+    if (AddLost(lost)) {
+      applied.push_back(lost);
+    }
   }
+  UpdateLost();
+  return applied;
+}
+
+void StoreView::UpdateLost() {
+  mLostInForce = mLost.InForce(mItems);
+  mLostDigest = DigestOf(mLostInForce);
+}
+
+std::vector<StoreChange> StoreView::ApplyChanges(const StoreDelta& aDelta,
+                                                 bool aMayHaveExpired) {
+  std::vector<StoreChange> applied;
   const std::uint64_t before = mAsOf;
   std::set<std::string> present;
   for (const StoreChange& change : aDelta.mChanges) {
@@ -41,19 +73,20 @@
     if (known != mItems.end() && known->second.mRevision >= change.mRevision) {
       continue;
     }
-    mItems[change.mKey] = change;
     NoteRevision(change.mRevision);
-    applied.push_back(change);
+    if (Store(change, aMayHaveExpired)) {
+      applied.push_back(change);
+    }
   }
   if (aDelta.mFull) {
-    for (auto& [key, item] : mItems) {
+    for (const auto& [key, item] : mItems) {
       const bool removed = item.mValue && !present.contains(key) &&
                            item.mRevision <= aDelta.mAsOf;
       if (removed) {
-        item.mRevision = aDelta.mAsOf;
-        item.mValue.reset();
-        NoteRevision(item.mRevision);
-        applied.push_back(item);
+        const StoreChange removal{key, aDelta.mAsOf, std::nullopt};
+        NoteRevision(removal.mRevision);
+        Store(removal, aMayHaveExpired);
+        applied.push_back(removal);
       }
     }
     // The last change may have been the removal of a key that is not known
@@ -72,6 +105,103 @@
   return applied;
 }
 
+std::vector<StoreChange> StoreView::BeginEra(const StoreDelta& aDelta) {
+  std::map<std::string, StoreChange> before = std::exchange(mItems, {});
+  for (auto& [key, item] : before) {
+    if (const StoreChange* const lost = mLost.Superseding(item)) {
+      item = *lost;
+    } else {
+      item.mEra = mEra;
+      mLost.Keep(item);
+    }
+  }
+  mEra = aDelta.mEra;
+  mDropsLostRemovals = false;
+  mAsOf = 0;
+  mNewest = 0;
+  mAhead.clear();
+  mPrunedUpTo = 0;
+  mGaps.clear();
+  std::vector<StoreChange> applied;
+  for (const StoreChange& change : aDelta.mChanges) {
+    NoteRevision(change.mRevision);
+    const bool isInForce = Store(change, false);
+    const auto known = before.find(change.mKey);
+    if (isInForce &&
+        (known == before.end() || known->second.mValue != change.mValue)) {
+      applied.push_back(change);
+    }
+  }
+  for (const auto& [key, item] : before) {
+    if (mItems.contains(key)) {
+      continue;
+    }
+    mLost.Drop(key);
+    if (item.mValue) {
+      applied.push_back(StoreChange{key, aDelta.mAsOf, std::nullopt});
+    }
+  }
+  NoteRevision(aDelta.mAsOf);
+  NoteGap(0, aDelta.mAsOf);
+  Advance(aDelta.mAsOf);
+  return applied;
+}
+
+bool StoreView::Store(StoreChange aChange, bool aMayHaveExpired) {
+  StoreChange& item = mItems[aChange.mKey];
+  if (!aChange.mValue && !aMayHaveExpired) {
+    const StoreChange* const lost = mLost.Superseding(item);
+    aChange.mOrder = mLost.OrderOf(lost == nullptr ? item : *lost);
+  }
+  item = std::move(aChange);
+  if (mLost.Superseding(item) != nullptr) {
+    return false;
+  }
+  mLost.Drop(item.mKey);
+  return true;
+}
+
+bool StoreView::AddLost(const StoreChange& aLost) {
+  const auto stored = mItems.find(aLost.mKey);
+  const bool isExpired = !aLost.mValue && mDropsLostRemovals;
+  if (stored == mItems.end() || aLost.mEra >= mEra || isExpired) {
+    return false;
+  }
+  const bool wasInForce = mLost.Superseding(stored->second) != nullptr;
+  if (!mLost.Keep(aLost)) {
+    return false;
+  }
+  if (mLost.Superseding(stored->second) == nullptr) {
+    if (!wasInForce) {
+      mLost.Drop(aLost.mKey);
+    }
+    return false;
+  }
+  return true;
+}
+
+std::optional<std::string> StoreView::ValueOf(const std::string& aKey) const {
+  const auto stored = mItems.find(aKey);
+  if (stored == mItems.end()) {
+    return std::nullopt;
+  }
+  const StoreChange* const lost = mLost.Superseding(stored->second);
+  return lost == nullptr ? stored->second.mValue : lost->mValue;
+}
+
+std::vector<StoreChange> StoreView::DropLostRemovals() {
+  mDropsLostRemovals = true;
+  std::vector<StoreChange> applied;
+  for (const std::string& key : mLost.DropRemovals()) {
+    const auto stored = mItems.find(key);
+    if (stored != mItems.end() && stored->second.mValue) {
+      applied.push_back(stored->second);
+    }
+  }
+  UpdateLost();
+  return applied;
+}
+
 void StoreView::Advance(std::uint64_t aAsOf) {
   mAsOf = std::max(mAsOf, aAsOf);
   const auto end = mAhead.upper_bound(mAsOf);
@@ -92,7 +222,9 @@
 StoreDelta StoreView::Since(std::uint64_t aRevision) const {
   StoreDelta delta;
   delta.mFull = NeedsFullCopy(aRevision);
+  delta.mEra = mEra;
   delta.mAsOf = mAsOf;
+  delta.mLost = Lost();
   if (!delta.mFull) {
     std::copy_if(
         mGaps.begin(), mGaps.end(), std::back_inserter(delta.mGaps),
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -1,6 +1,7 @@
 #include "core/view/view_synchronizer.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace papayawheel {
 namespace {
@@ -52,6 +53,10 @@
 constexpr milliseconds kReaderRetryDelay{300};
 constexpr milliseconds kNonReaderRetryDelay{1500};
 
+/** Maximum delay of the full read after an answer that does not lead on from
+ * the view. */
+constexpr milliseconds kMaxRepeatedReadDelay{50};
+
 /** If the view has not been confirmed for kStoreUnreachableAge, the store
  * counts as unreachable, and still does for kReconnectPeriod after the view has
  * been confirmed again. */
@@ -75,14 +80,21 @@
  * send. A refused host pulls from another host that has the changes by then. */
 constexpr milliseconds kMaxSendBacklog{120};
 
+/** Removals that the store has lost stay in force for this time. By then the
+ * store has dropped the entries whose writers are gone, as they do not renew
+ * them. */
+constexpr seconds kLostRemovalPeriod{10};
+
 /** Maximum number of alternative sources that are kept during a pull. */
 constexpr std::size_t kMaxPullSources = 4;
 
 }  // namespace
 
 ViewSynchronizer::ViewSynchronizer(TimePoint aNow, std::uint32_t aSeed,
-                                   bool aIsFirstStart)
-    : mRandom(aSeed),
+                                   bool aIsFirstStart,
+                                   WriteOrderReader aReadOrder)
+    : mView(std::move(aReadOrder)),
+      mRandom(aSeed),
       mStartedAt(aNow),
       mMaxConfirmationAge(kMaxConfirmationAge + Jitter(kMaxConfirmationSpread)),
       mInvalidatedAt(aNow),
@@ -164,21 +176,28 @@
   if (aSummary.mNewest == 0) {
     return actions;
   }
-  if (mView.IsLoaded() && aSummary.mAsOf < mView.Newest()) {
+  const bool isSameEra = aSummary.mEra == mView.Era();
+  const bool isOld = aSummary.mEra < mView.Era() ||
+                     (isSameEra && aSummary.mAsOf < mView.Newest());
+  if (mView.IsLoaded() && isOld) {
     return actions;
   }
   // No change lies between the newest one of a view and the revision up to
   // which it is complete. So the views are equal if neither lacks the newest of
   // the other.
-  if (mView.IsLoaded() && aSummary.mNewest <= mView.AsOf()) {
+  const bool isEqual =
+      mView.IsLoaded() && isSameEra && aSummary.mNewest <= mView.AsOf();
+  if (isEqual) {
     mView.Advance(aSummary.mAsOf);
     if (aSummary.mAge) {
       Confirm(aNow - *aSummary.mAge, aSummary.mConfirmation, aNow);
     }
-    return actions;
-  }
-  if (aSummary.mAge && aNow - *aSummary.mAge >= mAnnouncedAt) {
+    if (!HasOtherLostChanges(aSummary)) {
+      return actions;
+    }
+  } else if (aSummary.mAge && aNow - *aSummary.mAge >= mAnnouncedAt) {
     mAnnouncedNewest = aSummary.mNewest;
+    mAnnouncedEra = aSummary.mEra;
     mAnnouncedAt = aNow - *aSummary.mAge;
     mAnnouncedConfirmation = aSummary.mConfirmation;
   }
@@ -199,7 +218,41 @@
   mPulling = true;
   mPullAt = aNow;
   std::erase(mOtherSources, aControlAddress);
-  return PullView{aControlAddress, mView.IsLoaded() ? mView.AsOf() : 0};
+  return PullView{aControlAddress, mView.Era(),
+                  mView.IsLoaded() ? mView.AsOf() : 0};
+}
+
+bool ViewSynchronizer::HasOtherLostChanges(const ViewSummary& aSummary) const {
+  return aSummary.mLostDigest != 0 &&
+         aSummary.mLostDigest != mView.LostDigest() &&
+         !mPulledLost.contains(aSummary.mLostDigest);
+}
+
+std::vector<StoreChange> ViewSynchronizer::Apply(const StoreDelta& aDelta,
+                                                 TimePoint aNow) {
+  const bool wasLoaded = mView.IsLoaded();
+  const std::uint64_t before = mView.Era();
+  std::vector<StoreChange> changes =
+      mView.Apply(aDelta, WasStoreUnreachable(aNow));
+  if (wasLoaded && mView.Era() != before) {
+    mReconnectedAt = aNow;
+    mPulledLost.clear();
+  }
+  if (!aDelta.mLost.empty()) {
+    mPulledLost.insert(DigestOf(aDelta.mLost));
+  }
+  if (!mLostRemovalsUntil && !mView.Lost().empty()) {
+    mLostRemovalsUntil = aNow + kLostRemovalPeriod;
+  }
+  return changes;
+}
+
+std::vector<StoreChange> ViewSynchronizer::ExpireLostRemovals(TimePoint aNow) {
+  if (!mLostRemovalsUntil || aNow < *mLostRemovalsUntil) {
+    return {};
+  }
+  mLostRemovalsUntil.reset();
+  return mView.DropLostRemovals();
 }
 
 ViewActions ViewSynchronizer::PullFromNextSource(TimePoint aNow) {
@@ -218,28 +271,42 @@
   if (!aDelta || (!aDelta->mFull && !mView.IsLoaded())) {
     return {};
   }
-  std::vector<StoreChange> changes = mView.Apply(*aDelta);
-  mNeedsFullRead = false;
-  if (aAge) {
-    // The age was that of the moment when the other host answered.
-    Confirm(mPullAt - *aAge, aConfirmation, aNow);
-  }
-  if (mAnnouncedNewest > 0 && mView.AsOf() >= mAnnouncedNewest) {
-    Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
-    mAnnouncedNewest = 0;
+  std::vector<StoreChange> changes = Apply(*aDelta, aNow);
+  if (aDelta->mEra == mView.Era()) {
+    mNeedsFullRead = false;
+    if (aAge) {
+      // The age was that of the moment when the other host answered.
+      Confirm(mPullAt - *aAge, aConfirmation, aNow);
+    }
   }
+  ConfirmAnnounced(aNow);
   if (mAnnouncedNewest == 0) {
     mOtherSources.clear();
   }
   return changes;
 }
 
-std::optional<StoreDelta> ViewSynchronizer::ServePull(std::uint64_t aRevision,
+void ViewSynchronizer::ConfirmAnnounced(TimePoint aNow) {
+  if (mAnnouncedNewest == 0 || mAnnouncedEra > mView.Era()) {
+    return;
+  }
+  const bool isSameEra = mAnnouncedEra == mView.Era();
+  if (isSameEra && mView.AsOf() < mAnnouncedNewest) {
+    return;
+  }
+  if (isSameEra) {
+    Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
+  }
+  mAnnouncedNewest = 0;
+}
+
+std::optional<StoreDelta> ViewSynchronizer::ServePull(std::uint64_t aEra,
+                                                      std::uint64_t aRevision,
                                                       TimePoint aNow) {
   if (mSendingUntil > aNow + kMaxSendBacklog) {
     return std::nullopt;
   }
-  StoreDelta delta = mView.Since(aRevision);
+  StoreDelta delta = mView.Since(aEra == mView.Era() ? aRevision : 0);
   const std::chrono::duration<double> sending(
       static_cast<double>(TransferSize(delta)) / kSendBytesPerSecond);
   mSendingUntil = std::max<TimePoint>(mSendingUntil, aNow) +
@@ -253,10 +320,18 @@
   mStoreCallPending = false;
   mFailures = 0;
   mAnsweredAt = aNow;
+  const bool isOtherEra = mView.IsLoaded() && aDelta.mEra != mView.Era();
+  if (isOtherEra && (!aDelta.mFull || aDelta.mEra < mView.Era())) {
+    // The answer is no evidence about this view: it is a late one of an earlier
+    // era, or changes that lead on from another view.
+    mNeedsFullRead = mNeedsFullRead || aDelta.mEra > mView.Era();
+    mNextCall = aNow + Jitter(kMaxRepeatedReadDelay);
+    return {};
+  }
   if (aDelta.mFull) {
     mNeedsFullRead = false;
   }
-  std::vector<StoreChange> changes = mView.Apply(aDelta);
+  std::vector<StoreChange> changes = Apply(aDelta, aNow);
   Confirm(completeAt, NewConfirmation(), aNow);
   mNextCall =
       aNow + (changes.empty() ? Duration::zero() : Duration(kChangeBatchDelay));
@@ -283,7 +358,7 @@
   mStoreCallPending = false;
   if (aFailure == StoreFailure::HistoryUnavailable) {
     mNeedsFullRead = true;
-    mNextCall = aNow + Jitter(milliseconds(50));
+    mNextCall = aNow + Jitter(kMaxRepeatedReadDelay);
     return;
   }
   ++mFailures;
@@ -318,7 +393,9 @@
     return summary;
   }
   summary.mNewest = mView.Newest();
+  summary.mEra = mView.Era();
   summary.mAsOf = mView.AsOf();
+  summary.mLostDigest = mView.LostDigest();
   if (mConfirmedAt) {
     summary.mAge = std::chrono::duration_cast<Duration>(aNow - *mConfirmedAt);
     summary.mConfirmation = mConfirmation;
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -28,6 +29,8 @@
 struct PullView {
   /** The other host's control address, which serves requests of hosts. */
   std::string mAddress;
+  /** The era that mAfter belongs to. */
+  std::uint64_t mEra = 0;
   /** Changes up to this revision are known; 0 requests a full copy. */
   std::uint64_t mAfter = 0;
 };
@@ -59,8 +62,10 @@
  public:
   /** @param aSeed seed of the random delays.
    * @param aIsFirstStart whether the whole fleet starts for the first time; the
-   * first read is then delayed until the hosts have found each other. */
-  ViewSynchronizer(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart);
+   * first read is then delayed until the hosts have found each other.
+   * @param aReadOrder see StoreView. */
+  ViewSynchronizer(TimePoint aNow, std::uint32_t aSeed, bool aIsFirstStart,
+                   WriteOrderReader aReadOrder = {});
 
   /** Returns the actions that are due. */
   ViewActions Tick(ReaderRole aRole, TimePoint aNow);
@@ -87,9 +92,11 @@
    */
   ViewActions PullFromNextSource(TimePoint aNow);
 
-  /** Returns the delta for another host that has every change up to a revision.
-   * Empty while so much data is being sent that it would arrive too late. */
-  std::optional<StoreDelta> ServePull(std::uint64_t aRevision, TimePoint aNow);
+  /** Returns the delta for another host that has every change up to a revision
+   * of an era. Empty while so much data is being sent that it would arrive too
+   * late. */
+  std::optional<StoreDelta> ServePull(std::uint64_t aEra,
+                                      std::uint64_t aRevision, TimePoint aNow);
 
   /** The store answered a read or a watch. Returns the changes that were not
    * known yet. */
@@ -97,6 +104,10 @@
                                          TimePoint aNow);
   void StoreFailed(StoreFailure aFailure, TimePoint aNow);
 
+  /** Some time after the store was restored, its entries replace the removals
+   * that it lost. Returns the changes. */
+  std::vector<StoreChange> ExpireLostRemovals(TimePoint aNow);
+
   /** The process has resumed after a suspension: the view must not be acted on
    * until it is confirmed again, as after a start. The caller cancels the calls
    * under way. */
@@ -114,12 +125,20 @@
     return mRole == ReaderRole::Confirmer;
   }
   /** Whether the view has not been confirmed for some time, or was not until
-   * recently. Removals seen then may be entries that expired only because they
-   * could not be renewed while the store was unreachable. */
+   * recently, or the store was restored recently. Removals seen then may be
+   * entries that expired only because they could not be renewed while the store
+   * was unreachable, or that the store has lost. */
   [[nodiscard]] bool WasStoreUnreachable(TimePoint aNow) const;
   [[nodiscard]] const StoreView& View() const { return mView; }
 
  private:
+  /** Applies a delta and notes whether it began a new era. */
+  std::vector<StoreChange> Apply(const StoreDelta& aDelta, TimePoint aNow);
+  /** Whether another host's lost changes differ from those here and have not
+   * been pulled yet. */
+  [[nodiscard]] bool HasOtherLostChanges(const ViewSummary& aSummary) const;
+  /** Confirms the view if it includes what another host announced. */
+  void ConfirmAnnounced(TimePoint aNow);
   PullView PullFrom(const std::string& aControlAddress, TimePoint aNow);
   /** Records that the view included every change of the store at a time.
    * @param aConfirmation identifies the answer of the store that showed it; 0
@@ -163,12 +182,17 @@
   std::vector<std::string> mOtherSources;
   /** When the deltas given to other hosts will have been sent, by estimate. */
   TimePoint mSendingUntil;
-  /** The newest revision that another host confirmed at mAnnouncedAt, until the
-   * view here includes it; 0 if there is none. */
+  /** The newest revision that another host confirmed at mAnnouncedAt, and its
+   * era, until the view here includes it; 0 if there is none. */
   std::uint64_t mAnnouncedNewest = 0;
+  std::uint64_t mAnnouncedEra = 0;
   TimePoint mAnnouncedAt;
   std::uint64_t mAnnouncedConfirmation = 0;
   TimePoint mNextReaderQuery;
+  /** Digests of the lost changes that were pulled in this era. */
+  std::set<std::uint64_t> mPulledLost;
+  /** When the removals that the store has lost are dropped. */
+  std::optional<TimePoint> mLostRemovalsUntil;
 };
 
 }  // namespace papayawheel
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -67,7 +67,8 @@
       mClock(aClock),
       mHooks(std::move(aHooks)),
       mGossip(DescribeSelf(aSettings, aClock), SeedOf(aSettings)),
-      mSynchronizer(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart),
+      mSynchronizer(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart,
+                    platform::ReadWriteOrder),
       mLastIteration(aClock.Now()) {
   mGossip.SetViewSource([this] { return mSynchronizer.Summary(mClock.Now()); });
 }
@@ -150,6 +151,10 @@
   mGossip.SetStoreFailing(mSynchronizer.IsStoreFailing());
   Send(mGossip.Tick(now));
   Perform(mSynchronizer.Tick(RoleOf(mGossip.Self(), Readers()), now));
+  const auto expired = mSynchronizer.ExpireLostRemovals(now);
+  if (!expired.empty()) {
+    ApplyChanges(expired, "expired_removals");
+  }
   if (mRegistry.Tick(now)) {
     PublishView();
   }
@@ -305,6 +310,7 @@
         {{"revision", mSynchronizer.View().Newest()}});
   }
   PublishViewFreshness();
+  NoteEra();
   // Announced first, so that other hosts fetch the changes while this host
   // decodes them.
   const bool fromStore = aSource == "watch" || aSource == "read";
@@ -325,7 +331,8 @@
     }
   }
   Log(LogLevel::Info, "view_changed",
-      {{"revision", mSynchronizer.View().Newest()},
+      {{"era", mSynchronizer.View().Era()},
+       {"revision", mSynchronizer.View().Newest()},
        {"as_of", mSynchronizer.View().AsOf()},
        {"changes", aChanges.size()},
        {"source", aSource}});
@@ -335,6 +342,21 @@
   }
 }
 
+void GatewayControl::NoteEra() {
+  const StoreView& view = mSynchronizer.View();
+  if (view.Era() == mLoggedEra) {
+    return;
+  }
+  if (mHasPublishedView) {
+    Log(LogLevel::Warning, "store_restored",
+        {{"era", view.Era()},
+         {"before", mLoggedEra},
+         {"revision", view.Newest()},
+         {"lost_changes_in_force", view.Lost().size()}});
+  }
+  mLoggedEra = view.Era();
+}
+
 void GatewayControl::ApplyConfiguration(const StoreChange& aChange) {
   const auto decoded =
       platform::DecodeConfiguration(aChange.mValue.value_or(""));
@@ -358,11 +380,15 @@
                                    const StoreChange& aChange) {
   const TimePoint now = mClock.Now();
   if (!aChange.mValue) {
-    const bool mayHaveExpired = mSynchronizer.WasStoreUnreachable(now);
+    // The removal that a restored store lost was seen before.
+    const bool wasLost = aChange.mEra != 0;
+    const bool mayHaveExpired =
+        !wasLost && mSynchronizer.WasStoreUnreachable(now);
     Log(LogLevel::Info, "endpoint_removed",
         {{"endpoint", aId},
          {"revision", aChange.mRevision},
-         {"may_have_lapsed", mayHaveExpired}});
+         {"may_have_lapsed", mayHaveExpired},
+         {"lost_by_store", wasLost}});
     mRegistry.Remove(aId, mayHaveExpired, now);
     return;
   }
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -94,10 +94,12 @@
   void Pull(const PullView& aPull);
   /** Applies changes of the store and passes them to the traffic thread and the
    * fleet.
-   * @param aSource "read", "watch" or the address of the host that sent the
-   * changes. */
+   * @param aSource "read", "watch", "expired_removals" or the address of the
+   * host that sent the changes. */
   void ApplyChanges(const std::vector<StoreChange>& aChanges,
                     const std::string& aSource);
+  /** Logs that the store was restored from a copy. */
+  void NoteEra();
   void ApplyConfiguration(const StoreChange& aChange);
   void ApplyEndpoint(const std::string& aId, const StoreChange& aChange);
   void PublishView();
@@ -132,6 +134,7 @@
   /** Whether a view has been passed to the traffic thread. */
   bool mHasPublishedView = false;
   bool mWasStoreFailing = false;
+  std::uint64_t mLoggedEra = 0;
   /** The read or watch of the store under way; 0 if there is none. */
   HttpClient::Id mStoreCall = 0;
   TimePoint mLastIteration;
--- a/servers/gateway_control_api.cpp
+++ b/servers/gateway_control_api.cpp
@@ -21,8 +21,9 @@
   HttpReply reply;
   if (path == kViewTransferPath) {
     const TimePoint now = mClock.Now();
-    const auto delta =
-        mSynchronizer.ServePull(QueryNumber(aExchange->Target(), "after"), now);
+    const std::string target = aExchange->Target();
+    const auto delta = mSynchronizer.ServePull(
+        QueryNumber(target, "era"), QueryNumber(target, "after"), now);
     if (delta) {
       ++(delta->mFull ? mCounts.mCopiesServed : mCounts.mDeltasServed);
       const ViewSummary summary = mSynchronizer.Summary(now);
@@ -56,6 +57,7 @@
   }
   const nlohmann::json status = {
       {"host", mSettings.mName},
+      {"era", view.mEra},
       {"revision", view.mNewest},
       {"configuration", mRoutes == nullptr ? 0 : mRoutes->Source().mVersion},
       {"endpoints", mRegistry.Endpoints()->size()},
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -26,12 +26,13 @@
 
 /** @param aView the view to which the answer was applied. */
 void LogStoreAnswer(std::string_view aCall, const StoreDelta& aDelta,
-                    std::uint64_t aEra, const StoreView& aView) {
+                    const StoreView& aView) {
   Log(LogLevel::Info, "store_answered",
       {{"call", aCall},
-       {"era", aEra},
+       {"era", aDelta.mEra},
        {"as_of", aDelta.mAsOf},
        {"changes", aDelta.mChanges.size()},
+       {"view_era", aView.Era()},
        {"view_as_of", aView.AsOf()}});
 }
 
@@ -59,9 +60,16 @@
     return;
   }
   const bool isFirst = !aSoFar.mFull;
+  page->mDelta.mEra = EraOf(aResult);
+  if (!isFirst && page->mDelta.mEra != aSoFar.mEra) {
+    // The store was restored between two pages: the read begins anew.
+    StoreCallFailed(aResult, StoreFailure::HistoryUnavailable);
+    return;
+  }
   // Later pages may include later changes. Only the revision of the first page
   // is covered by all pages.
   aSoFar.mAsOf = isFirst ? page->mDelta.mAsOf : aSoFar.mAsOf;
+  aSoFar.mEra = page->mDelta.mEra;
   aSoFar.mFull = true;
   for (StoreChange& change : page->mDelta.mChanges) {
     aSoFar.mChanges.push_back(std::move(change));
@@ -71,7 +79,7 @@
     return;
   }
   const auto changes = mSynchronizer.StoreAnswered(aSoFar, mClock.Now());
-  LogStoreAnswer("read", aSoFar, EraOf(aResult), mSynchronizer.View());
+  LogStoreAnswer("read", aSoFar, mSynchronizer.View());
   ApplyChanges(changes, "read");
   RunIteration();
 }
@@ -95,15 +103,16 @@
     StoreCallFailed(aResult, StoreFailure::HistoryUnavailable);
     return;
   }
-  const auto page = answered && aResult.mStatus == http_status::kOk
-                        ? platform::ParseWatch(aResult.mBody)
-                        : std::nullopt;
+  auto page = answered && aResult.mStatus == http_status::kOk
+                  ? platform::ParseWatch(aResult.mBody)
+                  : std::nullopt;
   if (!page) {
     StoreCallFailed(aResult, StoreFailure::NoAnswer);
     return;
   }
+  page->mDelta.mEra = EraOf(aResult);
   const auto changes = mSynchronizer.StoreAnswered(page->mDelta, mClock.Now());
-  LogStoreAnswer("watch", page->mDelta, EraOf(aResult), mSynchronizer.View());
+  LogStoreAnswer("watch", page->mDelta, mSynchronizer.View());
   ApplyChanges(changes, "watch");
   RunIteration();
 }
@@ -125,7 +134,8 @@
 void GatewayControl::Pull(const PullView& aPull) {
   HttpCall call;
   call.mAddress = aPull.mAddress;
-  call.mTarget = fmt::format("{}?after={}", kViewTransferPath, aPull.mAfter);
+  call.mTarget = fmt::format("{}?after={}&era={}", kViewTransferPath,
+                             aPull.mAfter, aPull.mEra);
   call.mTimeout = kPullTimeout;
   call.mAcceptsCompressed = true;
   ++mCounts.mPulls;
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t kPassViewOnField = 12;
 /** Index of the store's answer that confirmed the sender's view. */
 constexpr std::size_t kConfirmationField = 13;
+/** Indices of the era of the sender's view and of the digest of the changes
+ * that the store has lost. */
+constexpr std::size_t kEraField = 14;
+constexpr std::size_t kLostDigestField = 15;
 /** Index of the host's capacity in a full member record. */
 constexpr std::size_t kCapacityField = 9;
 
@@ -194,6 +198,26 @@
   return change;
 }
 
+Json RenderLost(const StoreChange& aLost) {
+  Json change = RenderChange(aLost);
+  change.push_back(aLost.mEra);
+  change.push_back(aLost.mOrder ? Json::array({aLost.mOrder->mIncarnation,
+                                               aLost.mOrder->mNumber})
+                                : Json(nullptr));
+  return change;
+}
+
+StoreChange ParseLost(const Json& aLost) {
+  StoreChange change = ParseChange(aLost);
+  change.mEra = ParseInteger<std::uint64_t>(aLost.at(3));
+  const Json& order = aLost.at(4);
+  if (!order.is_null()) {
+    change.mOrder = WriteOrder{ParseInteger<std::int64_t>(order.at(0)),
+                               ParseInteger<std::int64_t>(order.at(1))};
+  }
+  return change;
+}
+
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& aMessage) {
@@ -213,7 +237,8 @@
        Json::array({std::llround(aMessage.mLoad.mRequests),
                     std::llround(aMessage.mLoad.mLinkBytes)}),
        aMessage.mCrashDigest.value_or(0), aMessage.mPassViewOn,
-       aMessage.mView.mConfirmation});
+       aMessage.mView.mConfirmation, aMessage.mView.mEra,
+       aMessage.mView.mLostDigest});
   std::string datagram;
   Json::to_msgpack(message, datagram);
   return datagram;
@@ -259,6 +284,11 @@
       message.mView.mConfirmation =
           ParseInteger<std::uint64_t>(parsed.at(kConfirmationField));
     }
+    if (parsed.size() > kLostDigestField) {
+      message.mView.mEra = ParseInteger<std::uint64_t>(parsed.at(kEraField));
+      message.mView.mLostDigest =
+          ParseInteger<std::uint64_t>(parsed.at(kLostDigestField));
+    }
     return message;
   } catch (const std::exception&) {
     return std::nullopt;
@@ -274,7 +304,13 @@
   for (const StoreGap& gap : aTransfer.mDelta.mGaps) {
     gaps.push_back(Json::array({gap.mAfter, gap.mUntil}));
   }
+  Json lost = Json::array();
+  for (const StoreChange& change : aTransfer.mDelta.mLost) {
+    lost.push_back(RenderLost(change));
+  }
   const Json document = {{"full", aTransfer.mDelta.mFull},
+                         {"era", aTransfer.mDelta.mEra},
+                         {"lost", lost},
                          {"as_of", aTransfer.mDelta.mAsOf},
                          {"age_us", RenderAge(aTransfer.mAge)},
                          {"confirmation", aTransfer.mConfirmation},
@@ -291,6 +327,13 @@
     transfer.mDelta.mFull = document.at("full").get<bool>();
     transfer.mDelta.mAsOf = ParseInteger<std::uint64_t>(document.at("as_of"));
     transfer.mAge = ParseAge(document.at("age_us"));
+    // Earlier versions of the program know of no eras.
+    if (document.contains("era")) {
+      transfer.mDelta.mEra = ParseInteger<std::uint64_t>(document.at("era"));
+      for (const Json& change : document.at("lost")) {
+        transfer.mDelta.mLost.push_back(ParseLost(change));
+      }
+    }
     // Earlier versions of the program send none.
     transfer.mConfirmation = document.value("confirmation", std::uint64_t{0});
     for (const Json& change : document.at("changes")) {
--- a/standins/store_main.cpp
+++ b/standins/store_main.cpp
@@ -1,6 +1,6 @@
 // Stands in for the store of the platform, with its protocol: items with
-// revisions, which can be read in pages and watched. Tests write items and
-// switch faults on.
+// revisions, which can be read in pages and watched. Tests write items, switch
+// faults on, and take and restore copies.
 #include <curl/curl.h>
 #include <fmt/format.h>
 
@@ -67,10 +67,11 @@
     std::unique_ptr<asio::steady_timer> mTimer;
   };
 
-  static void Answer(const HttpExchangePtr& aExchange, const Json& aBody,
-                     int aStatus = 200) {
+  void Answer(const HttpExchangePtr& aExchange, const Json& aBody,
+              int aStatus = 200) const {
     HttpReply reply;
     reply.mStatus = aStatus;
+    reply.mHeaders.emplace_back("Store-Era", fmt::format("{}", mEra));
     reply.mBody = aBody.dump();
     aExchange->Reply(reply);
   }
@@ -131,7 +132,9 @@
     const auto watcher = std::make_shared<Watcher>();
     watcher->mExchange = aExchange;
     watcher->mAfter = QueryNumber(aTarget, "after");
-    if (watcher->mAfter < mCompactedRevision) {
+    const bool hasHistory =
+        watcher->mAfter >= mCompactedRevision && watcher->mAfter <= mRevision;
+    if (!hasHistory) {
       Answer(aExchange, Json::object(), http_status::kGone);
       return;
     }
@@ -166,6 +169,12 @@
     if (mFault == "forget") {
       mCompactedRevision = mRevision;
       mFault.clear();
+    } else if (mFault == "copy") {
+      mCopy = Copy{mItems, mRevision};
+      mFault.clear();
+    } else if (mFault == "restore") {
+      Restore();
+      mFault.clear();
     }
     Answer(aExchange, Json{{"fault", mFault}});
     if (mFault == "down") {
@@ -175,7 +184,26 @@
     }
   }
 
+  /** Brings the copy back: later changes are lost, and their revisions are
+   * given out again. */
+  void Restore() {
+    mItems = mCopy.mItems;
+    mRevision = mCopy.mRevision;
+    ++mEra;
+    for (const auto& watcher : std::exchange(mWatchers, {})) {
+      Answer(watcher->mExchange, Json::object(), http_status::kGone);
+    }
+  }
+
+  struct Copy {
+    std::map<std::string, Item> mItems;
+    std::uint64_t mRevision = 1;
+  };
+
   asio::io_context& mContext;
+  Copy mCopy;
+  /** Increases with each restore. */
+  std::uint64_t mEra = 1;
   std::map<std::string, Item> mItems;
   std::uint64_t mRevision = 1;
   /** Watches from before this revision are refused with status 410, because the
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -26,6 +26,13 @@
 /** Bytes of a transfer between hosts in addition to its changes. */
 constexpr std::size_t kBytesPerTransfer = 300;
 
+/** Values that are numbers are ordered by them. */
+std::optional<WriteOrder> ReadOrder(const std::string& /*aKey*/,
+                                    const std::string& aValue) {
+  const auto number = ParseNumber<std::int64_t>(aValue);
+  return number ? std::optional(WriteOrder{0, *number}) : std::nullopt;
+}
+
 }  // namespace
 
 GossipFleet::GossipFleet(std::size_t aHosts, std::size_t aDataCentres,
@@ -69,7 +76,8 @@
   }
   host.mGossip->SetSeeds(seeds);
   host.mSynchronizer = std::make_unique<ViewSynchronizer>(
-      mEvents.Now(), static_cast<std::uint32_t>(mRandom()), host.mEpoch == 0);
+      mEvents.Now(), static_cast<std::uint32_t>(mRandom()), host.mEpoch == 0,
+      ReadOrder);
   host.mGossip->SetViewSource([this, synchronizer = host.mSynchronizer.get()] {
     return synchronizer->Summary(mEvents.Now());
   });
@@ -121,6 +129,7 @@
 void GossipFleet::RestoreStore() {
   mContent = mCopiedContent;
   mRevision = mCopiedRevision;
+  ++mEra;
   mHistoryFrom = std::min(mHistoryFrom, mRevision);
   for (const PendingRead& one : std::exchange(mPendingReads, {})) {
     mEvents.After(kStoreDelay, [this, one] {
@@ -148,6 +157,7 @@
 StoreDelta GossipFleet::StoreSince(std::uint64_t aRevision) const {
   StoreDelta delta;
   delta.mFull = aRevision == 0;
+  delta.mEra = mEra;
   delta.mAsOf = mRevision;
   std::copy_if(mContent.begin(), mContent.end(),
                std::back_inserter(delta.mChanges),
@@ -219,6 +229,7 @@
       RoleOf(host.mGossip->Self(),
              ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
   Act(aHost, host.mSynchronizer->Tick(role, now));
+  host.mSynchronizer->ExpireLostRemovals(now);
   Schedule(aHost);
 }
 
@@ -385,7 +396,7 @@
   }
   const TimePoint now = mEvents.Now();
   ViewSynchronizer& source = *mHosts[peer].mSynchronizer;
-  const auto offered = source.ServePull(aPull.mAfter, now);
+  const auto offered = source.ServePull(aPull.mEra, aPull.mAfter, now);
   if (!offered) {
     mEvents.After(2 * kHostDelay,
                   [this, aHost, epoch] { PullFailed(aHost, epoch); });
@@ -431,9 +442,7 @@
 
 bool GossipFleet::Holds(std::size_t aHost, const std::string& aKey,
                         const std::optional<std::string>& aValue) const {
-  const auto& items = mHosts[aHost].mSynchronizer->View().Items();
-  const auto found = items.find(aKey);
-  return (found == items.end() ? std::nullopt : found->second.mValue) == aValue;
+  return mHosts[aHost].mSynchronizer->View().ValueOf(aKey) == aValue;
 }
 
 bool GossipFleet::IsTrusted(std::size_t aHost) const {
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -136,6 +136,7 @@
   std::uint64_t mHistoryFrom = 0;
   std::vector<StoreChange> mCopiedContent;
   std::uint64_t mCopiedRevision = 1;
+  std::uint64_t mEra = 1;
   double mBytesPerSecond = 1e9;
   std::vector<PendingRead> mPendingReads;
   std::uint64_t mRevision = 1;
--- a/tests/core/test_store_view.cpp
+++ b/tests/core/test_store_view.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/view/store_view.h"
@@ -24,15 +25,30 @@
       mLog.push_back(StoreChange{aKey, ++mRevision, std::nullopt});
     }
   }
+  /** Takes a copy, which Restore() brings back in a new era. */
+  void Copy() {
+    mCopiedItems = mItems;
+    mCopiedRevision = mRevision;
+  }
+  void Restore() {
+    mItems = mCopiedItems;
+    mRevision = mCopiedRevision;
+    std::erase_if(mLog, [this](const StoreChange& aChange) {
+      return aChange.mRevision > mRevision;
+    });
+    ++mEra;
+  }
+  [[nodiscard]] std::uint64_t Era() const { return mEra; }
+
   [[nodiscard]] StoreDelta Read() const {
-    StoreDelta delta{true, mRevision, {}};
+    StoreDelta delta{true, mRevision, {}, {}, mEra};
     for (const auto& [key, item] : mItems) {
       delta.mChanges.push_back(item);
     }
     return delta;
   }
   [[nodiscard]] StoreDelta Since(std::uint64_t aRevision) const {
-    StoreDelta delta{false, mRevision, {}};
+    StoreDelta delta{false, mRevision, {}, {}, mEra};
     std::copy_if(mLog.begin(), mLog.end(), std::back_inserter(delta.mChanges),
                  [aRevision](const StoreChange& aChange) {
                    return aChange.mRevision > aRevision;
@@ -50,6 +66,9 @@
 
  private:
   std::uint64_t mRevision = 1;
+  std::uint64_t mEra = 1;
+  std::uint64_t mCopiedRevision = 1;
+  std::map<std::string, StoreChange> mCopiedItems;
   std::map<std::string, StoreChange> mItems;
   std::vector<StoreChange> mLog;
 };
@@ -69,9 +88,10 @@
     FakeStore store;
     std::vector<StoreView> views(3);
     std::vector<StoreDelta> late;
-    std::vector<std::map<std::string, std::uint64_t>> seen(views.size());
+    using Position = std::pair<std::uint64_t, std::uint64_t>;
+    std::vector<std::map<std::string, Position>> seen(views.size());
     const auto steps = *rc::gen::container<std::vector<std::tuple<int, int>>>(
-        rc::gen::tuple(rc::gen::inRange(0, 7), rc::gen::inRange(0, 6)));
+        rc::gen::tuple(rc::gen::inRange(0, 9), rc::gen::inRange(0, 6)));
     for (const auto& [act, number] : steps) {
       const std::string key = "k" + std::to_string(number % 4);
       const std::size_t host = static_cast<std::size_t>(number) % views.size();
@@ -87,20 +107,27 @@
           view.Apply(store.Read());
           break;
         case 3:
-          if (view.IsLoaded()) {
+          if (view.IsLoaded() && view.Era() == store.Era()) {
             view.Apply(store.Since(view.AsOf()));
           }
           break;
         case 4: {
           const StoreView& peer = views[(host + 1) % views.size()];
           if (peer.IsLoaded()) {
-            view.Apply(peer.Since(view.IsLoaded() ? view.AsOf() : 0));
+            const bool isSameEra = view.Era() == peer.Era();
+            view.Apply(peer.Since(isSameEra ? view.AsOf() : 0));
           }
           break;
         }
         case 5:
           late.push_back(store.Read());
           break;
+        case 6:
+          store.Copy();
+          break;
+        case 7:
+          store.Restore();
+          break;
         default:
           if (!late.empty()) {
             view.Apply(late[static_cast<std::size_t>(number) % late.size()]);
@@ -108,13 +135,15 @@
           break;
       }
       for (const auto& [name, item] : view.Items()) {
-        RC_ASSERT(item.mRevision >= seen[host][name]);
-        seen[host][name] = item.mRevision;
+        const Position position(view.Era(), item.mRevision);
+        RC_ASSERT(position >= seen[host][name]);
+        seen[host][name] = position;
       }
     }
     // One host reads the store; another one pulls from that host.
     views[0].Apply(store.Read());
-    views[1].Apply(views[0].Since(views[1].IsLoaded() ? views[1].AsOf() : 0));
+    const bool isSameEra = views[0].Era() == views[1].Era();
+    views[1].Apply(views[0].Since(isSameEra ? views[1].AsOf() : 0));
     RC_ASSERT(ContentOf(views[0]) == store.Content());
     RC_ASSERT(ContentOf(views[1]) == store.Content());
   }));
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -115,7 +115,7 @@
       other.NotePeerSummary("started", started.Summary(now), now);
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
-  other.FinishPull(started.ServePull(pull.mAfter, now),
+  other.FinishPull(started.ServePull(pull.mEra, pull.mAfter, now),
                    started.Summary(now).mAge,
                    started.Summary(now).mConfirmation, now);
   CHECK_FALSE(other.View().Items().at("removed").mValue);
@@ -145,7 +145,7 @@
         other.NotePeerSummary("reader", reader.Summary(now), now);
     for (const ViewAction& action : actions) {
       if (const auto* const pull = std::get_if<PullView>(&action)) {
-        const auto delta = reader.ServePull(pull->mAfter, now);
+        const auto delta = reader.ServePull(pull->mEra, pull->mAfter, now);
         other.FinishPull(delta, reader.Summary(now).mAge,
                          reader.Summary(now).mConfirmation, now);
       }
--- a/tests/fuzz/fuzz_gossip.cpp
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -44,7 +44,7 @@
   ViewSynchronizer synchronizer(kNow, 1, true);
   synchronizer.FinishPull(transfer->mDelta, transfer->mAge,
                           transfer->mConfirmation, kNow);
-  synchronizer.ServePull(0, kNow);
+  synchronizer.ServePull(0, 0, kNow);
   static_cast<void>(synchronizer.Summary(kNow));
 }
 
--- a/tests/platform/test_documents.cpp
+++ b/tests/platform/test_documents.cpp
@@ -144,6 +144,29 @@
   }
 }
 
+TEST_CASE("documents: the order of what a writer wrote at one key") {
+  struct Case {
+    const char* mKey;
+    const char* mValue;
+    std::optional<WriteOrder> mOrder;
+  };
+  const std::vector<Case> cases = {
+      {"op/config", R"({"config-version":7})", WriteOrder{0, 7}},
+      {"op/config", R"({"config-version":"7"})", std::nullopt},
+      {"servers/i-1", R"({"born":5,"status":{"seq":3}})", WriteOrder{5, 3}},
+      {"servers/i-1", R"({"status":{"seq":3}})", WriteOrder{0, 3}},
+      {"servers/i-1", R"({"born":5,"status":{}})", std::nullopt},
+      {"servers/i-1", R"({"born":-5,"status":{"seq":3}})", std::nullopt},
+      {"servers/i-1", "no document", std::nullopt},
+      {"other", R"({"config-version":7})", std::nullopt},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mKey);
+    CAPTURE(one.mValue);
+    CHECK(ReadWriteOrder(one.mKey, one.mValue) == one.mOrder);
+  }
+}
+
 TEST_CASE("documents: keys of the store") {
   CHECK(IsConfigurationKey("op/config"));
   CHECK_FALSE(IsConfigurationKey("op/config2"));
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -275,6 +275,8 @@
   message.mWantsMemberList = true;
   message.mPassViewOn = true;
   message.mView.mConfirmation = 0xfedcba9876543210ULL;
+  message.mView.mEra = 3;
+  message.mView.mLostDigest = 0xedcba9876543210fULL;
   message.mSender.mCapacity = HostCapacity{0.5, 25e6};
   message.mLoad = HostLoad{120, 3e6};
   const std::string datagram = EncodeGossip(message);
@@ -285,6 +287,8 @@
   CHECK(decoded->mWantsMemberList);
   CHECK(decoded->mPassViewOn);
   CHECK(decoded->mView.mConfirmation == 0xfedcba9876543210ULL);
+  CHECK(decoded->mView.mEra == 3);
+  CHECK(decoded->mView.mLostDigest == 0xedcba9876543210fULL);
   CHECK(decoded->mSender.mState == MemberState::Draining);
   CHECK(decoded->mSender.mCapacity.mLinkBytes == 25e6);
   CHECK(decoded->mLoad.mRequests == 120);
@@ -295,13 +299,16 @@
     CHECK_FALSE(DecodeGossip(datagram.substr(0, size)));
   }
   // Earlier versions of the program send no request for the member list, no
-  // load, no crash digest, no request to pass the view on and no confirmation.
+  // load, no crash digest, no request to pass the view on, no confirmation, and
+  // neither an era nor a digest of lost changes.
   auto earlier = nlohmann::json::from_msgpack(datagram);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
   earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
+  earlier.erase(earlier.size() - 1);
   std::string fromEarlier;
   nlohmann::json::to_msgpack(earlier, fromEarlier);
   const auto decodedEarlier = DecodeGossip(fromEarlier);
@@ -309,6 +316,7 @@
   CHECK_FALSE(decodedEarlier->mWantsMemberList);
   CHECK_FALSE(decodedEarlier->mPassViewOn);
   CHECK_FALSE(decodedEarlier->mCrashDigest);
+  CHECK(decodedEarlier->mView.mEra == 0);
   // Their crash records consist of fingerprint and endpoint only.
   earlier[8] = {{0xfedcba9876543210ULL, "i-1"}};
   fromEarlier.clear();
@@ -320,11 +328,21 @@
   ViewTransfer transfer;
   transfer.mDelta =
       StoreDelta{true, 12, {{"a", 3, "x"}, {"b", 4, std::nullopt}}, {{5, 9}}};
+  transfer.mDelta.mEra = 3;
+  transfer.mDelta.mLost = {{"c", 7, "y", 2, WriteOrder{5, 6}},
+                           {"d", 8, std::nullopt, 1}};
   const auto view = DecodeView(EncodeView(transfer));
   REQUIRE(view);
   CHECK(view->mDelta.mChanges[0].mValue == "x");
   CHECK_FALSE(view->mDelta.mChanges[1].mValue);
   CHECK(view->mDelta.mGaps == transfer.mDelta.mGaps);
+  CHECK(view->mDelta.mEra == 3);
+  REQUIRE(view->mDelta.mLost.size() == 2);
+  CHECK(view->mDelta.mLost[0].mValue == "y");
+  CHECK(view->mDelta.mLost[0].mEra == 2);
+  CHECK(view->mDelta.mLost[0].mOrder == WriteOrder{5, 6});
+  CHECK_FALSE(view->mDelta.mLost[1].mValue);
+  CHECK_FALSE(view->mDelta.mLost[1].mOrder);
   CHECK_FALSE(view->mAge);
   CHECK_FALSE(DecodeView("{}"));
 }
