--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -212,6 +212,7 @@
   }
   mFronts.SetServing(IsReady());
   const auto addresses = mFronts.Select(query->mDataCentre, mClock.Now());
+  NoteSelection(query->mDataCentre, addresses);
   reply.mStatus =
       addresses.empty() ? http_status::kUnavailable : http_status::kOk;
   reply.mBody = platform::RenderResolve(
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -78,6 +78,9 @@
 
   bool OpenServers();
   void HandleRequest(const HttpExchangePtr& aExchange);
+  /** Logs the hosts for the callers of a data centre if they have changed. */
+  void NoteSelection(const std::string& aDataCentre,
+                     const std::vector<std::string>& aAddresses);
   void AnswerDirectory(const HttpExchangePtr& aExchange);
   void AnswerReadiness(const HttpExchangePtr& aExchange);
   void CallerClosed(std::uint64_t aConnection);
@@ -123,6 +126,8 @@
   GatewayEngine mEngine;
   std::shared_ptr<const RoutingView> mView;
   FrontDirectory mFronts;
+  /** The selection that was last logged, by data centre. */
+  std::map<std::string, std::vector<std::string>> mLoggedSelections;
   std::unordered_map<CallId, Exchange> mExchanges;
   ConnectionCalls mConnectionCalls;
   Requests mAttemptRequests;
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -11,6 +11,12 @@
 #include "servers/gateway_traffic.h"
 
 namespace papayawheel {
+namespace {
+
+/** Data centres whose selections are logged. Callers may name others. */
+constexpr std::size_t kMaxLoggedSelections = 64;
+
+}  // namespace
 
 void GatewayTraffic::LogAnswer(const Exchange& aExchange,
                                const GatewayAnswer& aAnswer,
@@ -106,4 +112,19 @@
   return rendered.get_future().get();
 }
 
+void GatewayTraffic::NoteSelection(const std::string& aDataCentre,
+                                   const std::vector<std::string>& aAddresses) {
+  const bool isKnown = mLoggedSelections.contains(aDataCentre);
+  if (!isKnown && mLoggedSelections.size() >= kMaxLoggedSelections) {
+    return;
+  }
+  std::vector<std::string>& logged = mLoggedSelections[aDataCentre];
+  if (logged != aAddresses) {
+    logged = aAddresses;
+    Log(LogLevel::Info, "selection_changed",
+        {{"data_centre", aDataCentre},
+         {"hosts", fmt::format("{}", fmt::join(aAddresses, ","))}});
+  }
+}
+
 }  // namespace papayawheel
