--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -8,6 +8,7 @@
 #include "core/base/clock.h"
 #include "core/gateway/crash_record.h"
 #include "core/gossip/host_load.h"
+#include "core/gossip/service_reach.h"
 
 namespace papayawheel {
 
@@ -39,6 +40,7 @@
   /** Whether its reads of the platform's store fail. */
   bool mStoreFailing = false;
   HostCapacity mCapacity;
+  ServiceReach mReach;
   /** The load that it last reported. A change of it does not increase
    * mVersion. */
   HostLoad mLoad;
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <exception>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "core/base/rendezvous.h"
@@ -41,6 +43,12 @@
 /** Index of the host's capacity in a full member record. */
 constexpr std::size_t kCapacityField = 9;
 
+/** Index of the services that the host has lost, and of those that it reaches
+ * and others have lost, in a full member record. */
+constexpr std::size_t kReachField = 10;
+/** Names of services that are taken from one record at most. */
+constexpr std::size_t kMaxReachNames = 128;
+
 /** Number of fields of a crash record from earlier versions of the program,
  * which send neither its id nor its times. */
 constexpr std::size_t kLegacyCrashFieldCount = 2;
@@ -102,7 +110,8 @@
        aRecord.mControlAddress, aRecord.mFrontAddress, aRecord.mIncarnation,
        aRecord.mVersion, static_cast<int>(aRecord.mState),
        aRecord.mStoreFailing,
-       Json::array({aRecord.mCapacity.mCores, aRecord.mCapacity.mLinkBytes})});
+       Json::array({aRecord.mCapacity.mCores, aRecord.mCapacity.mLinkBytes}),
+       Json::array({aRecord.mReach.mLost, aRecord.mReach.mReached})});
 }
 
 /** Parses a number from another host. Limits it to the range from 0 to 1e12 and
@@ -113,6 +122,16 @@
   return number > 0 ? std::min(number, kMaxQuantity) : 0;
 }
 
+std::set<std::string> ParseNames(const Json& aNames) {
+  std::set<std::string> names;
+  for (const Json& name : aNames) {
+    if (names.size() < kMaxReachNames) {
+      names.insert(name.get<std::string>());
+    }
+  }
+  return names;
+}
+
 MemberRecord ParseRecord(const Json& aRecord) {
   MemberRecord record;
   record.mName = aRecord.at(0).get<std::string>();
@@ -134,6 +153,11 @@
     record.mCapacity = HostCapacity{ParseQuantity(capacity.at(0)),
                                     ParseQuantity(capacity.at(1))};
   }
+  if (aRecord.size() > kReachField) {
+    const Json& reach = aRecord.at(kReachField);
+    record.mReach =
+        ServiceReach{ParseNames(reach.at(0)), ParseNames(reach.at(1))};
+  }
   return record;
 }
 
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -334,5 +335,54 @@
   }
 }
 
+// Guards against hosts that lost their paths to endpoints and that callers go
+// on being sent to; and against hosts that are left out because a service is
+// down.
+TEST_CASE("fronts: a host that lost a service which others reach is left out") {
+  struct Case {
+    std::string mWhat;
+    /** Hosts that have lost the service, and hosts that reach it. */
+    std::set<std::size_t> mLost;
+    std::set<std::size_t> mReached;
+    bool mLeavesOut;
+  };
+  const std::vector<Case> cases = {
+      {"nobody lost it", {}, {}, false},
+      {"a few hosts", {0, 4, 8}, {1, 2}, true},
+      {"a whole data centre", {0, 4, 8, 12, 16}, {1, 2}, true},
+      {"nobody reaches it", {0, 4, 8}, {}, false},
+      {"the only one that reaches it is draining", {0, 4, 8}, {3}, false},
+      {"all hosts have lost it",
+       {0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17},
+       {},
+       false},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mWhat);
+    std::vector<MemberRecord> hosts = MakeHosts(18, 4);
+    hosts[3].mState = MemberState::Draining;
+    const auto before = SelectFronts(hosts, "dc0", HostLoad{});
+    for (std::size_t number = 0; number < hosts.size(); ++number) {
+      ServiceReach& reach = hosts[number].mReach;
+      reach.mLost = one.mLost.contains(number)
+                        ? std::set<std::string>{"service"}
+                        : std::set<std::string>{};
+      reach.mReached = one.mReached.contains(number)
+                           ? std::set<std::string>{"service"}
+                           : std::set<std::string>{};
+    }
+    const auto after = SelectFronts(hosts, "dc0", HostLoad{});
+    CHECK_FALSE(after.empty());
+    if (!one.mLeavesOut) {
+      CHECK(after == before);
+      continue;
+    }
+    for (const std::size_t lost : one.mLost) {
+      CHECK(std::find(after.begin(), after.end(), hosts[lost].mFrontAddress) ==
+            after.end());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -278,6 +278,7 @@
   message.mView.mEra = 3;
   message.mView.mLostDigest = 0xedcba9876543210fULL;
   message.mSender.mCapacity = HostCapacity{0.5, 25e6};
+  message.mSender.mReach = ServiceReach{{"lost"}, {"a", "b"}};
   message.mLoad = HostLoad{120, 3e6};
   const std::string datagram = EncodeGossip(message);
   const auto decoded = DecodeGossip(datagram);
@@ -291,6 +292,7 @@
   CHECK(decoded->mView.mLostDigest == 0xedcba9876543210fULL);
   CHECK(decoded->mSender.mState == MemberState::Draining);
   CHECK(decoded->mSender.mCapacity.mLinkBytes == 25e6);
+  CHECK(decoded->mSender.mReach == message.mSender.mReach);
   CHECK(decoded->mLoad.mRequests == 120);
   CHECK(decoded->mCrashDigest == 99);
   CHECK(decoded->mCrashes[0].mEndedAgo == milliseconds(20));
