RECOVER: hosts that lost a service which others reach leave the selection

Cause: nothing that a host tells of itself says whether it reaches endpoints; being up was taken for being able to serve.

Ruled out: callers that do not move (no selection changed in 12 s).

Change: a host finds out by silent endpoints and probes that it has lost a service and reports it; a few others report whether they reach it; only then is it left out. Calls of a lost service are refused at once and their connections closed.

--- a/core/endpoints/endpoint_pool.cpp
+++ b/core/endpoints/endpoint_pool.cpp
@@ -280,6 +280,24 @@
   return candidates;
 }
 
+std::vector<EndpointPool::Candidate> EndpointPool::RandomEndpoints(
+    const std::set<std::string>& aLast, std::size_t aCount,
+    std::minstd_rand& aRandom, TimePoint aNow) const {
+  std::vector<Candidate> endpoints;
+  for (const auto& [id, state] : mEndpoints) {
+    if (AcceptsWork(state, aNow)) {
+      endpoints.push_back(Candidate{id, state.mEntry.mAddress});
+    }
+  }
+  std::shuffle(endpoints.begin(), endpoints.end(), aRandom);
+  std::stable_partition(endpoints.begin(), endpoints.end(),
+                        [&aLast](const Candidate& aEndpoint) {
+                          return !aLast.contains(aEndpoint.mId);
+                        });
+  endpoints.resize(std::min(aCount, endpoints.size()));
+  return endpoints;
+}
+
 bool EndpointPool::IsFresh(const std::string& aId, TimePoint aNow) const {
   if (mLoadReporting != LoadReporting::Reported) {
     return mLoadReporting == LoadReporting::Missing;
@@ -421,15 +439,17 @@
   return ToSeconds(aNow - aState.mReportedAt) < seconds;
 }
 
+bool EndpointPool::AcceptsWork(const State& aState, TimePoint aNow) {
+  return !aState.mEntry.mDraining && !aState.mDraining &&
+         aNow >= aState.mBackoffUntil && aNow >= aState.mLimit.NextAt();
+}
+
 bool EndpointPool::IsUsable(const State& aState,
                             const std::vector<std::string>& aExcluded,
                             TimePoint aNow) const {
-  const bool acceptsWork = !aState.mEntry.mDraining && !aState.mDraining &&
-                           aNow >= aState.mBackoffUntil &&
-                           aNow >= aState.mLimit.NextAt();
   const bool excluded = std::find(aExcluded.begin(), aExcluded.end(),
                                   aState.mEntry.mId) != aExcluded.end();
-  return !excluded && acceptsWork && aNow >= aState.mUsableFrom;
+  return !excluded && AcceptsWork(aState, aNow) && aNow >= aState.mUsableFrom;
 }
 
 double EndpointPool::ExpectedLoad(const State& aState, Duration aWork,
--- a/core/endpoints/endpoint_pool.h
+++ b/core/endpoints/endpoint_pool.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -87,6 +88,12 @@
       const std::vector<std::string>& aExcluded, Duration aWork,
       std::size_t aMaxCount, TimePoint aNow) const;
 
+  /** Returns some endpoints at random, first those that are not among aLast.
+   * Endpoints that are paused after a failure count too. */
+  [[nodiscard]] std::vector<Candidate> RandomEndpoints(
+      const std::set<std::string>& aLast, std::size_t aCount,
+      std::minstd_rand& aRandom, TimePoint aNow) const;
+
   /** Whether the last report of an endpoint is recent enough to need no probe.
    * Always true if the endpoints of the service do not report their load. */
   [[nodiscard]] bool IsFresh(const std::string& aId, TimePoint aNow) const;
@@ -193,6 +200,9 @@
    * enough requests since then to have a free slot. */
   [[nodiscard]] bool IsKnownFull(const State& aState, Duration aWork,
                                  TimePoint aNow) const;
+  /** Whether neither the endpoint nor the store tells this host to send it
+   * nothing. */
+  static bool AcceptsWork(const State& aState, TimePoint aNow);
   [[nodiscard]] bool IsUsable(const State& aState,
                               const std::vector<std::string>& aExcluded,
                               TimePoint aNow) const;
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -85,10 +85,18 @@
 
 /** The result of a probe. */
 struct ProbeReply {
+  /** Whether anything answered that says nothing else of the endpoint. */
+  bool mHasOtherAnswer = false;
   EndpointLiveness mLiveness = EndpointLiveness::Unknown;
   /** Nothing if the endpoint sent no load report. */
   std::optional<LoadSample> mSample;
   EndpointNotice mNotice;
+
+  /** Whether anything answered at the endpoint's address. */
+  [[nodiscard]] bool HasAnswer() const {
+    return mHasOtherAnswer || mSample || mLiveness == EndpointLiveness::Alive ||
+           mLiveness == EndpointLiveness::Replaced;
+  }
 };
 
 /** Action: probe an endpoint. */
--- a/core/gateway/gateway_dispatch.cpp
+++ b/core/gateway/gateway_dispatch.cpp
@@ -72,7 +72,8 @@
   LeaveQueue(aId, aCall);
   aCall.mPurpose = aPurpose;
   aCall.mErrorIfNotSent = aErrorIfNotSent;
-  if (!MayFindEndpoint(service, aCall, aNow)) {
+  if (IsLost(aCall.mService, service) ||
+      !MayFindEndpoint(service, aCall, aNow)) {
     GiveUp(aId, aCall,
            aCall.mTried.empty() ? ErrorKind::NoEndpoint : aErrorIfNotSent,
            aActions);
@@ -241,6 +242,7 @@
   service.mPool.NoteNotice(probe.mEndpoint, aReply.mNotice, aNow);
   mCrashDetector.NoteLiveness(probe.mEndpoint, aReply.mLiveness, probe.mSentAt,
                               aNow);
+  NoteReach(probe.mService, probe.mEndpoint, aReply.HasAnswer(), aNow, actions);
   if (probe.mIsHealthCheck && aReply.mSample) {
     // The slow or lost request that caused this health check is better evidence
     // of the endpoint's state than its load report, so the sample is not used.
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -45,6 +45,7 @@
 
 void GatewayEngine::Apply(std::shared_ptr<const RoutingView> aView,
                           TimePoint aNow) {
+  mNow = aNow;
   mView = std::move(aView);
   if (mView->mRoutes == nullptr) {
     return;
@@ -103,7 +104,8 @@
   }
   const auto seed = static_cast<std::uint32_t>(mRandom());
   ServiceState& service =
-      mServices.emplace(aName, ServiceState(mDataCentre, seed)).first->second;
+      mServices.emplace(aName, ServiceState(mDataCentre, seed, mNow))
+          .first->second;
   service.mBudget.Configure(mBudgetTerms, mHosts);
   service.mPool.SetLimitSharers(mLimitSharers, mNow);
   return service;
@@ -236,6 +238,12 @@
   ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
   mCrashDetector.NoteLiveness(attempt.mEndpoint, aReply.mLiveness,
                               attempt.mSentAt, aNow);
+  const bool answered = aReply.mResult == AttemptResult::Answered ||
+                        aReply.mResult == AttemptResult::NotExecuted ||
+                        aReply.mResult == AttemptResult::Garbled;
+  if (aReply.mResult != AttemptResult::Cancelled) {
+    NoteReach(service, attempt.mEndpoint, answered, aNow, actions);
+  }
   switch (aReply.mResult) {
     case AttemptResult::Answered:
       if (!failed) {
@@ -348,6 +356,11 @@
       SendQueuedCalls(timer.mService, aNow, actions);
       continue;
     }
+    if (timer.mKind == TimerKind::ReachCheck) {
+      ServiceOf(timer.mService).mReachTimer.reset();
+      SendReachChecks(timer.mService, aNow, actions);
+      continue;
+    }
     if (timer.mKind == TimerKind::SuspectCheck) {
       SendHealthChecks(aNow, actions);
       continue;
@@ -377,6 +390,7 @@
       case TimerKind::ProbeRound:
       case TimerKind::ProbeTimeout:
       case TimerKind::SuspectCheck:
+      case TimerKind::ReachCheck:
         break;
       case TimerKind::ViewWaitTimeout:
         if (call.mAwaitsFreshView) {
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -16,7 +17,9 @@
 #include "core/gateway/fleet_retry_budget.h"
 #include "core/gateway/gateway_call.h"
 #include "core/gateway/probe_budget.h"
+#include "core/gateway/reach_tracker.h"
 #include "core/gateway/running_median.h"
+#include "core/gossip/service_reach.h"
 #include "core/routes/weighted_split.h"
 #include "core/routing/dispatch_queue.h"
 
@@ -59,6 +62,15 @@
    * requests wait for a short time and are then refused. */
   GatewayActions SetViewFresh(bool aFresh, TimePoint aNow);
 
+  /** Sets the services for which this host must find out whether it reaches
+   * them; see ServicesToCheck(). */
+  GatewayActions SetServicesToCheck(std::set<std::string> aServices,
+                                    TimePoint aNow);
+
+  /** The services that this host has lost, and those to check that it reaches.
+   */
+  [[nodiscard]] ServiceReach Reach(TimePoint aNow) const;
+
   /** Refuses all new requests from now on, since the host will stop. */
   void StopAccepting() { mAccepting = false; }
 
@@ -170,9 +182,13 @@
   };
 
   struct ServiceState {
-    ServiceState(const std::string& aDataCentre, std::uint32_t aSeed)
-        : mPool(aDataCentre, aSeed) {}
+    ServiceState(const std::string& aDataCentre, std::uint32_t aSeed,
+                 TimePoint aNow)
+        : mPool(aDataCentre, aSeed), mReach(aNow) {}
     EndpointPool mPool;
+    ReachTracker mReach;
+    /** Timer::mKind ReachCheck is set for this time. */
+    std::optional<TimePoint> mReachTimer{};
     FleetRetryBudget mBudget;
     ProbeBudget mProbeBudget;
     /** Calls that wait for an endpoint with a low load. */
@@ -197,11 +213,13 @@
     ProbeTimeout,
     /** Health checks of suspect endpoints are due. */
     SuspectCheck,
+    /** Probes are due that show whether a service is lost. */
+    ReachCheck,
   };
   struct Timer {
     TimerKind mKind = TimerKind::Deadline;
     CallId mCall = 0;
-    /** For ProbeRound. */
+    /** For ProbeRound and ReachCheck. */
     std::string mService{};
     /** For ProbeTimeout. */
     ProbeId mProbe = 0;
@@ -225,6 +243,17 @@
   /** Path of the load report of a service's endpoints; empty if there is none.
    * Valid until the next Apply(). */
   [[nodiscard]] std::string_view HealthPath(const std::string& aService) const;
+  /** Notes whether an endpoint answered. Refuses the waiting calls of a service
+   * that is lost by that. */
+  void NoteReach(const std::string& aService, const std::string& aEndpoint,
+                 bool aAnswered, TimePoint aNow, GatewayActions& aActions);
+  /** Sends the probes that show whether a service is lost, if they are due. */
+  void SendReachChecks(const std::string& aService, TimePoint aNow,
+                       GatewayActions& aActions);
+  /** Whether no endpoint of a service answers. Without a path for probes that
+   * is not known, as only calls can show that it has ended. */
+  [[nodiscard]] bool IsLost(const std::string& aService,
+                            const ServiceState& aState) const;
   void SendProbeRound(const std::string& aService, TimePoint aNow,
                       GatewayActions& aActions);
   /** The time of a call in the queue is over: sends it to an endpoint with a
@@ -297,6 +326,7 @@
   ProbeBudgetTerms mProbeTerms;
   std::size_t mProbeHosts = 1;
   LimitSharers mLimitSharers;
+  std::set<std::string> mServicesToCheck;
   bool mViewFresh = false;
   bool mAccepting = true;
   TimePoint mNow;
--- a/core/gossip/front_directory.cpp
+++ b/core/gossip/front_directory.cpp
@@ -25,6 +25,11 @@
 
 void FrontDirectory::SetLoad(const HostLoad& aLoad) { mSelf.mLoad = aLoad; }
 
+void FrontDirectory::SetReach(const ServiceReach& aReach) {
+  mSelf.mReach = aReach;
+  mSelected.clear();
+}
+
 void FrontDirectory::SetServing(bool aServing) {
   if (mServing != aServing) {
     mServing = aServing;
--- a/core/gossip/front_directory.h
+++ b/core/gossip/front_directory.h
@@ -25,6 +25,8 @@
   void SetOthers(std::vector<MemberRecord> aOthers);
   /** Sets the load of this host. */
   void SetLoad(const HostLoad& aLoad);
+  /** Sets which services this host has lost. */
+  void SetReach(const ServiceReach& aReach);
   /** Sets whether callers may be sent to this host. */
   void SetServing(bool aServing);
 
--- a/core/gossip/front_selection.cpp
+++ b/core/gossip/front_selection.cpp
@@ -179,7 +179,7 @@
                                       const HostLoad& aDemand) {
   std::map<std::string, Front> near;
   std::map<std::string, Front> all;
-  for (const MemberRecord& host : aHosts) {
+  for (const MemberRecord& host : WithoutCutOffHosts(aHosts)) {
     if (host.mState != MemberState::Ready) {
       continue;
     }
--- a/core/gossip/front_selection.h
+++ b/core/gossip/front_selection.h
@@ -15,6 +15,8 @@
 
 /** Selects the hosts that the callers of a data centre connect to.
  *
+ * Hosts that have lost their paths to endpoints are left out, see
+ * WithoutCutOffHosts().
  * Hosts in the callers' data centre are preferred, and all hosts that have the
  * same data select the same ones. Callers spread evenly over them. Only as many
  * are selected as it takes to leave each host room for load spikes: the fewer
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -101,6 +101,15 @@
   }
 }
 
+Datagrams GossipEngine::SetReach(const ServiceReach& aReach) {
+  if (mSelf.mReach == aReach) {
+    return {};
+  }
+  mSelf.mReach = aReach;
+  ++mSelf.mVersion;
+  return Announce();
+}
+
 Datagrams GossipEngine::SetLoad(const HostLoad& aLoad, TimePoint aNow) {
   mSelf.mLoad = aLoad;
   Datagrams datagrams;
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -35,6 +35,9 @@
 
   void SetState(MemberState aState);
   void SetStoreFailing(bool aFailing);
+  /** Sets which services this host has lost or reaches, and broadcasts it as
+   * Announce() does. */
+  Datagrams SetReach(const ServiceReach& aReach);
   /** Sets the function that returns the view summary for a message that is
    * sent now. Its age must not be older than the message. */
   void SetViewSource(std::function<ViewSummary()> aSource) {
--- a/core/view/write_order.h
+++ b/core/view/write_order.h
@@ -17,7 +17,8 @@
   /** Increases with each write within an incarnation. */
   std::int64_t mNumber = 0;
 
-  auto operator<=>(const WriteOrder&) const = default;
+  // The linter takes the zero of the generated comparison for a null pointer.
+  auto operator<=>(const WriteOrder&) const = default;  // NOLINT
 };
 
 /** Reads the order of a value; empty if the value does not tell. */
--- a/main/gateway_main.cpp
+++ b/main/gateway_main.cpp
@@ -211,6 +211,7 @@
           },
           [&control] { control.NoteSuspension(); },
           [&control](const HostLoad& aLoad) { control.SetHostLoad(aLoad); },
+          [&control](const ServiceReach& aReach) { control.SetReach(aReach); },
           [mainThread] { pthread_kill(mainThread, SIGUSR1); }});
   traffic = &gatewayTraffic;
   if (!gatewayTraffic.Start() || !control.Start()) {
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -130,6 +130,10 @@
              [this, aLoad] { Send(mGossip.SetLoad(aLoad, mClock.Now())); });
 }
 
+void GatewayControl::SetReach(const ServiceReach& aReach) {
+  asio::post(mContext, [this, aReach] { Send(mGossip.SetReach(aReach)); });
+}
+
 void GatewayControl::SetSeeds(std::vector<std::string> aSeeds) {
   asio::post(mContext, [this, seeds = std::move(aSeeds)] {
     std::vector<std::string> addresses;
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -59,6 +59,8 @@
   void BroadcastCrashRecords(std::vector<CrashRecord> aCrashes);
   /** The traffic thread noticed that the process was suspended. */
   void NoteSuspension();
+  /** Sets which services this host has lost or reaches. */
+  void SetReach(const ServiceReach& aReach);
   /** Sets the load from callers that this host reports to the others. */
   void SetHostLoad(const HostLoad& aLoad);
   void SetSeeds(std::vector<std::string> aSeeds);
--- a/servers/gateway_messages.cpp
+++ b/servers/gateway_messages.cpp
@@ -123,6 +123,8 @@
   if (aAnswer.mRefused) {
     reply.mLiveness = EndpointLiveness::Refused;
   }
+  reply.mHasOtherAnswer = aAnswer.mOutcome == EndpointOutcome::Answered ||
+                          aAnswer.mOutcome == EndpointOutcome::Garbled;
   if (aAnswer.mOutcome != EndpointOutcome::Answered) {
     return reply;
   }
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -154,6 +154,8 @@
     }
     mEngine.SetProbeBudget(mSettings.mProbeBudget, sharers.mHosts.size(), now);
     mEngine.SetLimitSharers(std::move(sharers), now);
+    MemberRecord self = SelfAsFront(mSettings);
+    Perform(mEngine.SetServicesToCheck(ServicesToCheck(self, members), now));
   });
 }
 
@@ -244,6 +246,7 @@
     }
   }
   LogCrashEvents();
+  PublishReach();
   if (const auto crashes = mEngine.TakeCrashes(); !crashes.empty()) {
     mHooks.mCrashesDetected(crashes);
   }
@@ -271,7 +274,8 @@
   mExchanges.erase(found);
   mConnectionCalls.Remove(exchange.mHttp->ConnectionId(), aAnswer.mCall);
   HttpReply reply = WriteGatewayReply(aAnswer);
-  reply.mClose = mDraining;
+  // A caller finds a host that reaches the endpoints by a new connection.
+  reply.mClose = mDraining || !mReach.mLost.empty();
   LogAnswer(exchange, aAnswer, reply);
   exchange.mHttp->Reply(reply);
 }
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -33,6 +33,8 @@
   std::function<void()> mSuspended;
   /** The load from callers was measured. */
   std::function<void(const HostLoad&)> mLoadMeasured;
+  /** The services that this host has lost or reaches have changed. */
+  std::function<void(const ServiceReach&)> mReachChanged;
   /** The host is drained: the process may end. */
   std::function<void()> mDone;
 };
@@ -78,6 +80,8 @@
 
   bool OpenServers();
   void HandleRequest(const HttpExchangePtr& aExchange);
+  /** Reports which services this host has lost or reaches, after a change. */
+  void PublishReach();
   /** Logs the hosts for the callers of a data centre if they have changed. */
   void NoteSelection(const std::string& aDataCentre,
                      const std::vector<std::string>& aAddresses);
@@ -126,6 +130,7 @@
   GatewayEngine mEngine;
   std::shared_ptr<const RoutingView> mView;
   FrontDirectory mFronts;
+  ServiceReach mReach;
   /** The selection that was last logged, by data centre. */
   std::map<std::string, std::vector<std::string>> mLoggedSelections;
   std::unordered_map<CallId, Exchange> mExchanges;
--- a/servers/gateway_traffic_reports.cpp
+++ b/servers/gateway_traffic_reports.cpp
@@ -112,6 +112,19 @@
   return rendered.get_future().get();
 }
 
+void GatewayTraffic::PublishReach() {
+  const ServiceReach reach = mEngine.Reach(mClock.Now());
+  if (reach == mReach) {
+    return;
+  }
+  mReach = reach;
+  Log(LogLevel::Warning, "reach_changed",
+      {{"lost", fmt::format("{}", fmt::join(reach.mLost, ","))},
+       {"reached", fmt::format("{}", fmt::join(reach.mReached, ","))}});
+  mFronts.SetReach(reach);
+  mHooks.mReachChanged(reach);
+}
+
 void GatewayTraffic::NoteSelection(const std::string& aDataCentre,
                                    const std::vector<std::string>& aAddresses) {
   const bool isKnown = mLoggedSelections.contains(aDataCentre);
--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -181,6 +181,10 @@
   }
 }
 
+void GatewayHarness::CheckServices(const std::set<std::string>& aServices) {
+  Act(mEngine.SetServicesToCheck(aServices, mClock.Now()));
+}
+
 void GatewayHarness::SetViewFresh(bool aFresh) {
   Act(mEngine.SetViewFresh(aFresh, mClock.Now()));
 }
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -57,6 +57,8 @@
   [[nodiscard]] std::size_t Probes() const { return mProbes.size(); }
   void DisconnectCaller(CallId aCall);
   void SetViewFresh(bool aFresh);
+  /** Sets the services that other hosts have lost. */
+  void CheckServices(const std::set<std::string>& aServices);
 
   [[nodiscard]] std::vector<AttemptId> Running() const;
   [[nodiscard]] const std::map<AttemptId, Attempt>& Attempts() const {
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -335,6 +335,29 @@
   }
 }
 
+TEST_CASE("fronts: a few hosts find out whether a lost service is reached") {
+  std::vector<MemberRecord> hosts = MakeHosts(18, 4);
+  std::size_t checking = 0;
+  for (const bool isLost : {false, true}) {
+    for (const std::size_t lost : {0, 4, 8}) {
+      hosts[lost].mReach.mLost.clear();
+      if (isLost) {
+        hosts[lost].mReach.mLost.insert("service");
+      }
+    }
+    checking = 0;
+    for (const MemberRecord& self : hosts) {
+      std::vector<MemberRecord> others = hosts;
+      std::erase_if(others, [&self](const MemberRecord& aHost) {
+        return aHost.mName == self.mName;
+      });
+      const bool checks = ServicesToCheck(self, others).contains("service");
+      checking += checks && self.mReach.mLost.empty() ? 1 : 0;
+    }
+    CHECK(checking == (isLost ? 4 : 0));
+  }
+}
+
 // Guards against hosts that lost their paths to endpoints and that callers go
 // on being sent to; and against hosts that are left out because a service is
 // down.
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -491,5 +491,48 @@
   }
 }
 
+// Guards against calls that wait for endpoints although this host has lost its
+// paths to all of them.
+TEST_CASE("gateway: calls of a service that this host has lost are refused") {
+  for (const bool idempotent : {true, false}) {
+    CAPTURE(idempotent);
+    GatewayHarness harness(12);
+    harness.SendRequest(idempotent);
+    for (int step = 0; step < 30; ++step) {
+      harness.AnswerProbes(false);
+      harness.Advance(milliseconds(25));
+    }
+    const std::size_t sent = harness.Attempts().size();
+    CHECK(harness.Engine().Reach(harness.Time().Now()).mLost.size() == 1);
+    const CallId refused = harness.SendRequest(idempotent);
+    REQUIRE(harness.Answers().contains(refused));
+    CHECK(harness.Answers().at(refused).mError == ErrorKind::NoEndpoint);
+    CHECK(harness.Executions(refused) == 0);
+    // Probes show that the cut has ended.
+    for (int step = 0; step < 40; ++step) {
+      harness.Advance(milliseconds(25));
+      harness.AnswerProbes(true);
+    }
+    CHECK(harness.Engine().Reach(harness.Time().Now()).mLost.empty());
+    const CallId served = harness.SendRequest(idempotent);
+    harness.AnswerProbes(true);
+    CHECK_FALSE(harness.Answers().contains(served));
+    CHECK(harness.Attempts().size() == sent + 1);
+  }
+}
+
+TEST_CASE("gateway: a host finds out whether it reaches what others lost") {
+  GatewayHarness harness(12);
+  const std::string service = GatewayHarness::kService;
+  CHECK(harness.Probes() == 0);
+  harness.CheckServices({service});
+  CHECK(harness.Probes() > 0);
+  harness.AnswerProbes(true);
+  CHECK(harness.Engine().Reach(harness.Time().Now()).mReached ==
+        std::set<std::string>{service});
+  harness.CheckServices({});
+  CHECK(harness.Engine().Reach(harness.Time().Now()) == ServiceReach{});
+}
+
 }  // namespace
 }  // namespace papayawheel
