Reports: a planned stop takes only what can end in its grace period

Other operators saw requests that were taken late in the grace period and cut without an answer at its end.

Cause here: a host took requests for 3 s whatever its grace period was, and ended 0.4 s before the end with whatever was still running.

Change: while it drains, a host takes a request only if its deadline is before the time at which it gives up; it takes none after half of the grace period, or 3 s; what still runs then is answered 504, what was not sent 503. The process ends once these answers are sent.

--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -33,6 +33,12 @@
                                 aRequest.mCallerHash, aRequest.mBodyHash));
 }
 
+TimePoint DeadlineOf(const GatewayRequest& aRequest, const Route& aRoute,
+                     TimePoint aNow) {
+  return aNow + std::min(aRequest.mCallerTimeout.value_or(aRoute.mTimeout),
+                         aRoute.mTimeout);
+}
+
 bool IsServerError(int aStatus) { return aStatus >= 500; }
 
 }  // namespace
@@ -151,15 +157,13 @@
       mView->mRoutes == nullptr
           ? nullptr
           : mView->mRoutes->Find(aRequest.mHost, aRequest.mTarget);
-  if (const auto error = ValidateRequest(aRequest, route)) {
+  if (const auto error = ValidateRequest(aRequest, route, aNow)) {
     Fail(aId, *error, actions);
     return actions;
   }
   call.mRoute = *route;
   call.mFingerprint = Fingerprint(aRequest);
-  call.mDeadline =
-      aNow + std::min(aRequest.mCallerTimeout.value_or(route->mTimeout),
-                      route->mTimeout);
+  call.mDeadline = DeadlineOf(aRequest, *route, aNow);
   call.mService = mSplit.Next(*route);
   ServiceState& service = ServiceOf(call.mService);
   service.mBudget.NoteRequest(aNow);
@@ -176,7 +180,7 @@
 }
 
 std::optional<ErrorKind> GatewayEngine::ValidateRequest(
-    const GatewayRequest& aRequest, const Route* aRoute) const {
+    const GatewayRequest& aRequest, const Route* aRoute, TimePoint aNow) const {
   if (mView->mRoutes == nullptr || !mAccepting) {
     return ErrorKind::HostNotReady;
   }
@@ -189,6 +193,9 @@
   if (aRequest.mCallerTimeout && *aRequest.mCallerTimeout <= Duration::zero()) {
     return ErrorKind::DeadlineTooShort;
   }
+  if (DeadlineOf(aRequest, *aRoute, aNow) > mAcceptsUntil) {
+    return ErrorKind::HostNotReady;
+  }
   return std::nullopt;
 }
 
@@ -399,10 +406,7 @@
         break;
       case TimerKind::Deadline:
         SuspectOverdueAttempts(call, aNow);
-        call.mMayHaveRun = call.mMayHaveRun || !call.mRunning.empty();
-        Fail(timer.mCall,
-             call.mMayHaveRun ? ErrorKind::TimedOut : ErrorKind::Overloaded,
-             actions);
+        EndUnanswered(timer.mCall, call, ErrorKind::Overloaded, actions);
         SendHealthChecks(aNow, actions);
         break;
     }
@@ -410,6 +414,24 @@
   return actions;
 }
 
+void GatewayEngine::EndUnanswered(CallId aId, Call& aCall, ErrorKind aIfNotRun,
+                                  GatewayActions& aActions) {
+  aCall.mMayHaveRun = aCall.mMayHaveRun || !aCall.mRunning.empty();
+  Fail(aId, aCall.mMayHaveRun ? ErrorKind::TimedOut : aIfNotRun, aActions);
+}
+
+GatewayActions GatewayEngine::EndAllCalls(TimePoint aNow) {
+  GatewayActions actions;
+  mNow = aNow;
+  while (!mCalls.empty()) {
+    auto& [id, call] = *mCalls.begin();
+    // A copy, since the call ends here.
+    const CallId ended = id;
+    EndUnanswered(ended, call, ErrorKind::HostNotReady, actions);
+  }
+  return actions;
+}
+
 std::optional<TimePoint> GatewayEngine::NextDue() const {
   if (mTimers.empty()) {
     return std::nullopt;
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -71,8 +71,13 @@
    */
   [[nodiscard]] ServiceReach Reach(TimePoint aNow) const;
 
+  /** Refuses new requests whose deadline is after a time, since the host will
+   * stop then. */
+  void AcceptUntil(TimePoint aEnd) { mAcceptsUntil = aEnd; }
   /** Refuses all new requests from now on, since the host will stop. */
   void StopAccepting() { mAccepting = false; }
+  /** Ends all calls, since the host stops now. */
+  GatewayActions EndAllCalls(TimePoint aNow);
 
   /** A request has arrived.
    * @param aId must be new. */
@@ -228,7 +233,8 @@
   /** Returns the error if a request must be refused on arrival.
    * @param aRoute its route; null if there is none. */
   [[nodiscard]] std::optional<ErrorKind> ValidateRequest(
-      const GatewayRequest& aRequest, const Route* aRoute) const;
+      const GatewayRequest& aRequest, const Route* aRoute,
+      TimePoint aNow) const;
   void Admit(CallId aId, TimePoint aNow, GatewayActions& aActions);
   /** Queues a call for its next attempt, or ends it if no endpoint is expected
    * to take it in time. */
@@ -306,6 +312,10 @@
   void RetryOrFail(CallId aId, Call& aCall, ErrorKind aError, TimePoint aNow,
                    GatewayActions& aActions);
   [[nodiscard]] bool MayRetry(const Call& aCall, TimePoint aNow) const;
+  /** Ends a call that has no answer in time: with an unknown outcome if an
+   * endpoint may have run it. */
+  void EndUnanswered(CallId aId, Call& aCall, ErrorKind aIfNotRun,
+                     GatewayActions& aActions);
   void Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
                GatewayActions& aActions);
   void Fail(CallId aId, ErrorKind aError, GatewayActions& aActions);
@@ -329,6 +339,7 @@
   std::set<std::string> mServicesToCheck;
   bool mViewFresh = false;
   bool mAccepting = true;
+  TimePoint mAcceptsUntil = TimePoint::max();
   TimePoint mNow;
   WeightedSplit mSplit;
   std::map<std::string, ServiceState> mServices;
--- a/servers/gateway_traffic.cpp
+++ b/servers/gateway_traffic.cpp
@@ -26,17 +26,11 @@
  * three times as long, so a host that drains must run for longer than that. */
 constexpr milliseconds kDirectoryTtl{1500};
 
-/** How long a host that drains accepts new requests. */
-constexpr milliseconds kDrainAcceptPeriod{3000};
-
 /** A host is drained when no request or unsent answer was seen for this long: a
  * caller may have sent a request before it learnt that the host drains. */
 constexpr milliseconds kDrainIdlePeriod{150};
 constexpr milliseconds kIdleCheckInterval{50};
 
-/** A host that drains ends this long before its grace period does. */
-constexpr milliseconds kGraceReserve{400};
-
 /** Idle connections of callers are closed after this time. The operator's limit
  * is well below it, so callers usually close them first. */
 constexpr std::chrono::seconds kIdleTimeout{120};
@@ -172,7 +166,8 @@
       return;
     }
     mDraining = true;
-    mDrainingSince = mClock.Now();
+    mDrainSchedule.emplace(mClock.Now(), mSettings.mGracePeriod);
+    mEngine.AcceptUntil(mDrainSchedule->GivesUpAt());
     Log(LogLevel::Info, "stopping", {{"in_flight", mEngine.InFlight()}});
     mHooks.mDraining();
     RunIteration();
@@ -336,8 +331,15 @@
   CheckForSuspension();
   const TimePoint now = mClock.Now();
   mLastIteration = now;
-  if (mDraining && now - mDrainingSince >= kDrainAcceptPeriod) {
+  if (mDrainSchedule && now >= mDrainSchedule->RefusesFrom()) {
+    mEngine.StopAccepting();
+  }
+  if (mDrainSchedule && now >= mDrainSchedule->GivesUpAt() && !mHasGivenUp) {
+    mHasGivenUp = true;
     mEngine.StopAccepting();
+    Log(LogLevel::Warning, "stop_gives_up",
+        {{"in_flight", mEngine.InFlight()}});
+    Perform(mEngine.EndAllCalls(now));
   }
   Perform(mEngine.Tick(now));
   MeasureLoad(now);
@@ -362,9 +364,7 @@
   if (const auto due = mEngine.NextDue()) {
     mTimerDue = std::min(mTimerDue, std::max(*due, now));
   }
-  const TimePoint end = mDrainingSince + mSettings.mGracePeriod - kGraceReserve;
   if (mDraining && !mDone) {
-    mTimerDue = std::min(mTimerDue, std::max(end, now));
     mTimerDue = std::min<TimePoint>(mTimerDue, now + kIdleCheckInterval);
   }
   mTimer.expires_after(mTimerDue - now);
@@ -412,10 +412,10 @@
   if (!IsIdle()) {
     mBusyAt = now;
   }
-  const auto passed = now - mDrainingSince;
   const bool idle =
-      passed >= kDrainAcceptPeriod && now - mBusyAt >= kDrainIdlePeriod;
-  if (idle || passed >= mSettings.mGracePeriod - kGraceReserve) {
+      now >= mDrainSchedule->RefusesFrom() && now - mBusyAt >= kDrainIdlePeriod;
+  const bool ends = now >= mDrainSchedule->EndsFrom() && IsIdle();
+  if (idle || ends || now >= mDrainSchedule->EndsAt()) {
     mDone = true;
     mHooks.mDone();
   }
--- a/servers/gateway_traffic.h
+++ b/servers/gateway_traffic.h
@@ -6,11 +6,13 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/base/clock.h"
+#include "core/gateway/drain_schedule.h"
 #include "core/gateway/gateway_engine.h"
 #include "core/gossip/front_directory.h"
 #include "core/gossip/gossip_message.h"
@@ -142,7 +144,9 @@
   CallId mLastCall = 0;
   bool mDraining = false;
   bool mDone = false;
-  TimePoint mDrainingSince;
+  /** Set once the host drains. */
+  std::optional<DrainSchedule> mDrainSchedule;
+  bool mHasGivenUp = false;
   /** While draining: when a request or an unsent answer was last seen. */
   TimePoint mBusyAt;
   TimePoint mLastIteration;
--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -181,6 +181,8 @@
   }
 }
 
+void GatewayHarness::EndAllCalls() { Act(mEngine.EndAllCalls(mClock.Now())); }
+
 void GatewayHarness::CheckServices(const std::set<std::string>& aServices) {
   Act(mEngine.SetServicesToCheck(aServices, mClock.Now()));
 }
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -57,6 +57,8 @@
   [[nodiscard]] std::size_t Probes() const { return mProbes.size(); }
   void DisconnectCaller(CallId aCall);
   void SetViewFresh(bool aFresh);
+  /** Ends all calls, as a host that stops does. */
+  void EndAllCalls();
   /** Sets the services that other hosts have lost. */
   void CheckServices(const std::set<std::string>& aServices);
 
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -491,6 +491,55 @@
   }
 }
 
+// Guards against requests that are taken late in a planned stop and cut off at
+// its end.
+TEST_CASE("gateway: a draining host takes only requests that can end in time") {
+  struct Case {
+    const char* mWhat;
+    Duration mCallerTimeout;
+    bool mTaken;
+  };
+  const std::vector<Case> cases = {
+      {"ends before the host", milliseconds(300), true},
+      {"ends with the host", milliseconds(500), true},
+      {"may end after the host", milliseconds(501), false},
+  };
+  for (const Case& one : cases) {
+    for (const bool idempotent : {true, false}) {
+      CAPTURE(one.mWhat);
+      CAPTURE(idempotent);
+      GatewayHarness harness(3);
+      harness.Engine().AcceptUntil(harness.Time().Now() + milliseconds(500));
+      const CallId call = harness.SendRequest(idempotent, one.mCallerTimeout);
+      CHECK(harness.Answers().contains(call) != one.mTaken);
+      if (!one.mTaken) {
+        CHECK(harness.Answers().at(call).mError == ErrorKind::HostNotReady);
+        CHECK(harness.Executions(call) == 0);
+      }
+    }
+  }
+}
+
+// Guards against requests that end without an answer, or with a false one, as
+// their host stops.
+TEST_CASE("gateway: at the end of a stop each call is answered truthfully") {
+  for (const bool idempotent : {true, false}) {
+    CAPTURE(idempotent);
+    GatewayHarness harness(3);
+    const CallId running = harness.SendRequest(idempotent);
+    harness.AnswerProbes(true);
+    REQUIRE(harness.Running().size() == 1);
+    const CallId waiting = harness.SendRequest(idempotent);
+    harness.EndAllCalls();
+    CHECK(harness.Answers().at(running).mError == ErrorKind::TimedOut);
+    const bool wasSent = harness.Attempts().size() > 1;
+    CHECK(harness.Answers().at(waiting).mError ==
+          (wasSent ? ErrorKind::TimedOut : ErrorKind::HostNotReady));
+    CHECK(harness.Running().empty());
+    CHECK(harness.Engine().InFlight() == 0);
+  }
+}
+
 // Guards against calls that wait for endpoints although this host has lost its
 // paths to all of them.
 TEST_CASE("gateway: calls of a service that this host has lost are refused") {
