CONFIG: each restore of the store begins the period of lost removals

With two restores 8 s apart, removals that the second one lost ended 2 s after it: an endpoint that has left could be used again until its entry expired. The new test failed before and passes now.

--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -237,6 +237,7 @@
   if (wasLoaded && mView.Era() != before) {
     mReconnectedAt = aNow;
     mPulledLost.clear();
+    mLostRemovalsUntil.reset();
   }
   if (!aDelta.mLost.empty()) {
     mPulledLost.insert(DigestOf(aDelta.mLost));
--- a/tests/core/test_restored_store.cpp
+++ b/tests/core/test_restored_store.cpp
@@ -196,6 +196,20 @@
   }
 }
 
+// Guards against a period that began with one restore and ends soon after the
+// next one.
+TEST_CASE("restored store: each restore begins the period of lost removals") {
+  const auto running =
+      RunRestore(Restores().front(), 63,
+                 [](GossipFleet& aFleet) { aFleet.Remove("left"); });
+  GossipFleet& fleet = *running;
+  fleet.Run(seconds(8));
+  fleet.RestoreStore();
+  fleet.Run(seconds(6));
+  CHECK(fleet.TimeUntilHeld("left", std::nullopt, milliseconds(0)).has_value());
+  CHECK(fleet.TimeUntilHeld("left", "1", seconds(20)).has_value());
+}
+
 TEST_CASE("restored store: an entry that its writer repeats is in use again") {
   const auto running =
       RunRestore(Restores().front(), 61,
