RECOVER: silence counts from the first silent endpoint, not from the last answer

Found by reading: after an idle time, or a suspension, a few endpoints that were silent at one moment made a whole service count as lost, and its calls were refused. The new test failed before and passes now.

--- a/core/gateway/reach_tracker.cpp
+++ b/core/gateway/reach_tracker.cpp
@@ -12,8 +12,9 @@
  * Fewer may have failed by themselves. */
 constexpr std::size_t kMinSilentEndpoints = 3;
 
-/** Time without any answer from which the service counts as lost. A service in
- * use answers probes within milliseconds. */
+/** Time from the first silent endpoint, without any answer, after which the
+ * service counts as lost. Further endpoints are probed meanwhile, and those of
+ * a service that is reached answer within milliseconds. */
 constexpr milliseconds kMinSilence{300};
 
 /** Answers in a row after which a lost service counts as reached again. */
@@ -24,7 +25,7 @@
 
 /** While there is doubt, so many endpoints are probed at this interval. */
 constexpr std::size_t kProbesPerCheck = 3;
-constexpr milliseconds kCheckInterval{150};
+constexpr milliseconds kCheckInterval{100};
 /** The interval while the service is lost, or is reached and another host asks
  * for it. */
 constexpr milliseconds kSlowCheckInterval{400};
@@ -44,13 +45,16 @@
 void ReachTracker::NoteSilence(const std::string& aEndpoint,
                                std::size_t aEndpoints, TimePoint aNow) {
   mAnswersInRow = 0;
+  if (mSilent.empty()) {
+    mSilentSince = aNow;
+  }
   if (mSilent.size() < kMinSilentEndpoints) {
     mSilent.insert(aEndpoint);
   }
   const std::size_t needed =
       std::clamp<std::size_t>(aEndpoints, 1, kMinSilentEndpoints);
   mIsLost = mIsLost ||
-            (mSilent.size() >= needed && aNow - mAnsweredAt >= kMinSilence);
+            (mSilent.size() >= needed && aNow - mSilentSince >= kMinSilence);
 }
 
 bool ReachTracker::IsReached(TimePoint aNow) const {
--- a/core/gateway/reach_tracker.h
+++ b/core/gateway/reach_tracker.h
@@ -12,8 +12,8 @@
 /** Finds out whether a host has lost its paths to all endpoints of a service.
  *
  * A single endpoint that is silent has failed; the host has lost the service if
- * several of them are silent and none has answered for some time. While that is
- * in doubt, further endpoints are probed. */
+ * several of them are silent and none has answered for some time since the
+ * first of them. While that is in doubt, further endpoints are probed. */
 class ReachTracker {
  public:
   explicit ReachTracker(TimePoint aNow) : mAnsweredAt(aNow) {}
@@ -44,6 +44,8 @@
   /** Whether any endpoint has ever answered. */
   bool mHasAnswered = false;
   std::set<std::string> mSilent;
+  /** When the first of them was noted. */
+  TimePoint mSilentSince;
   std::size_t mAnswersInRow = 0;
   bool mIsLost = false;
   bool mIsChecked = false;
--- a/tests/core/test_reach_tracker.cpp
+++ b/tests/core/test_reach_tracker.cpp
@@ -70,6 +70,21 @@
   }
 }
 
+// Guards against a service that counts as lost because it was not used, or the
+// process was suspended, before a few endpoints were silent at once.
+TEST_CASE("reach: a long time without answers is no evidence by itself") {
+  ReachTracker tracker = MakeTracker();
+  const TimePoint now = kStart + seconds(60);
+  for (const char* const endpoint : {"e0", "e1", "e2", "e3", "e4"}) {
+    tracker.NoteSilence(endpoint, kEndpoints, now);
+  }
+  CHECK_FALSE(tracker.IsLost());
+  CHECK(tracker.TakeChecks(now) > 0);
+  tracker.NoteAnswer(now + milliseconds(5));
+  tracker.NoteSilence("e5", kEndpoints, now + milliseconds(80));
+  CHECK_FALSE(tracker.IsLost());
+}
+
 TEST_CASE("reach: a service with one endpoint is lost with it") {
   ReachTracker tracker = MakeTracker();
   const TimePoint now = kStart + seconds(10);
