RECOVER: an ended attempt is noted for the reach of its service last

Found by reading: the attempt whose end shows that a service is lost ends the calls that wait, and its own call may be among them, waiting for a hedge; it was used afterwards. No run has shown it: the new test passes before and after, also with AddressSanitizer, so it only guards the neighbourhood of the fault.

--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -245,12 +245,6 @@
   ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
   mCrashDetector.NoteLiveness(attempt.mEndpoint, aReply.mLiveness,
                               attempt.mSentAt, aNow);
-  const bool answered = aReply.mResult == AttemptResult::Answered ||
-                        aReply.mResult == AttemptResult::NotExecuted ||
-                        aReply.mResult == AttemptResult::Garbled;
-  if (aReply.mResult != AttemptResult::Cancelled) {
-    NoteReach(service, attempt.mEndpoint, answered, aNow, actions);
-  }
   switch (aReply.mResult) {
     case AttemptResult::Answered:
       if (!failed) {
@@ -292,6 +286,13 @@
       RetryOrFail(attempt.mCall, call, ErrorKind::TimedOut, aNow, actions);
       break;
   }
+  // Last, as it may end the call.
+  if (aReply.mResult != AttemptResult::Cancelled) {
+    const bool answered = aReply.mResult == AttemptResult::Answered ||
+                          aReply.mResult == AttemptResult::NotExecuted ||
+                          aReply.mResult == AttemptResult::Garbled;
+    NoteReach(service, attempt.mEndpoint, answered, aNow, actions);
+  }
   SendQueuedCalls(service, aNow, actions);
   SendHealthChecks(aNow, actions);
   return actions;
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -570,6 +570,32 @@
   }
 }
 
+// Guards against a call that is used after it ended: its attempt is the one
+// that shows that the service is lost, while the call also waits for a hedge.
+TEST_CASE(
+    "gateway: a call that waits for a hedge ends as its service is lost") {
+  for (int offset = 0; offset < 800; offset += 2) {
+    GatewayHarness harness(60);
+    const CallId hedged = harness.SendRequest(true);
+    harness.AnswerProbes(true);
+    REQUIRE(harness.Running().size() == 1);
+    harness.Advance(milliseconds(offset));
+    harness.SendRequest(false);
+    // Probes of the other call go unanswered, up to just before the service
+    // counts as lost.
+    for (int step = 0; step < 29; ++step) {
+      harness.AnswerProbes(false);
+      harness.Advance(milliseconds(10));
+    }
+    // The clock only, so that no timer shows the loss first.
+    harness.Time().Advance(milliseconds(12));
+    harness.End(0, AttemptResult::Lost);
+    harness.Advance(milliseconds(500));
+    CHECK(harness.Executions(hedged) <= 3);
+    CHECK(harness.Violation().empty());
+  }
+}
+
 TEST_CASE("gateway: a host finds out whether it reaches what others lost") {
   GatewayHarness harness(12);
   const std::string service = GatewayHarness::kService;
