--- a/tests/drivers/test_silent_connections.cpp
+++ b/tests/drivers/test_silent_connections.cpp
@@ -88,7 +88,7 @@
 
 // Guards against a pull or a watch that goes on waiting on a connection that is
 // silent, and against a next one that is sent on it again.
-TEST_CASE("http client: a silent connection costs one call, then a new one") {
+TEST_CASE("http client: a silent connection costs one call") {
   struct Case {
     const char* mWhat;
     bool mTcpKeepAlive;
