--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,6 +3,7 @@
 # waits and accepts that an upstream has left: its entry is removed, and it never
 # reported that it drains. It serves for drain-ms and 0.15 s more, and then ends.
 # Consumers send 100 orders a second. With TROUBLE=0 the watch is not cut.
+record="$(cd "$(dirname "$0")" && pwd)/record.txt"
 source "$(dirname "$0")/../fleet.sh"
 drain_ms=2000
 stable_window_ms=3000
--- a/review/fleet.sh
+++ b/review/fleet.sh
@@ -1,12 +1,11 @@
 # Functions that start gateways, upstreams and a store on loopback for the cases
-# of this folder. Sourced by each run.sh, which runs in the repository's root.
+# of this folder. Sourced by each run.sh, which sets $record, the path of its
+# record.txt, before. The scripts go on in the repository's root.
 # Every process that a script starts is killed when it exits.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
-case_dir="$(cd "$(dirname "$0")" && pwd)"
 trouble="${TROUBLE:-1}"
 work="$(mktemp -d)"
-record="$case_dir/record.txt"
 : >"$record"
 started=()
 declare -A pid_of=()
