CONTROL: a log line when an endpoint that was kept after its removal is dropped

The log told when a host saw a removal (endpoint_removed), and not until when it went on using the endpoint: the end of the grace period had no line. So it could not tell a late removal from an early one that was kept.

EndpointRegistry::Tick returns the ids that it dropped, and the control thread logs each as endpoint_dropped. Nothing else changes.

--- a/core/endpoints/endpoint_registry.cpp
+++ b/core/endpoints/endpoint_registry.cpp
@@ -35,19 +35,19 @@
   mSnapshot.reset();
 }
 
-bool EndpointRegistry::Tick(TimePoint aNow) {
-  bool changed = false;
+std::vector<std::string> EndpointRegistry::Tick(TimePoint aNow) {
+  std::vector<std::string> dropped;
   for (auto it = mMissing.begin(); it != mMissing.end();) {
     if (it->second > aNow) {
       ++it;
       continue;
     }
     mEndpoints.erase(it->first);
+    dropped.push_back(it->first);
     it = mMissing.erase(it);
     mSnapshot.reset();
-    changed = true;
   }
-  return changed;
+  return dropped;
 }
 
 std::optional<TimePoint> EndpointRegistry::NextDue() const {
--- a/core/endpoints/endpoint_registry.h
+++ b/core/endpoints/endpoint_registry.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_entry.h"
@@ -25,9 +26,8 @@
    * @param aMayHaveExpired whether the store was unreachable lately. */
   void Remove(const std::string& aId, bool aMayHaveExpired, TimePoint aNow);
 
-  /** Drops missing entries whose grace period is over. Returns true if there
-   * were any. */
-  bool Tick(TimePoint aNow);
+  /** Drops missing entries whose grace period is over and returns their ids. */
+  std::vector<std::string> Tick(TimePoint aNow);
 
   /** Time at which Tick() will drop the next entry, if any is missing. */
   [[nodiscard]] std::optional<TimePoint> NextDue() const;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -159,14 +159,22 @@
   if (!expired.empty()) {
     ApplyChanges(expired, "expired_removals");
   }
-  if (mRegistry.Tick(now)) {
-    PublishView();
-  }
+  DropMissingEndpoints(now);
   PublishViewFreshness();
   PublishMembers();
   ScheduleIteration();
 }
 
+void GatewayControl::DropMissingEndpoints(TimePoint aNow) {
+  const std::vector<std::string> dropped = mRegistry.Tick(aNow);
+  for (const std::string& id : dropped) {
+    Log(LogLevel::Info, "endpoint_dropped", {{"endpoint", id}});
+  }
+  if (!dropped.empty()) {
+    PublishView();
+  }
+}
+
 void GatewayControl::NoteIterationGap(Duration aGap) {
   if (aGap <= kMaxIterationInterval + kMaxLateness) {
     return;
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -69,6 +69,9 @@
 
  private:
   void RunIteration();
+  /** Drops removed endpoints that were kept as their entries may have expired.
+   */
+  void DropMissingEndpoints(TimePoint aNow);
   /** Counts and logs an iteration that ran late.
    * @param aGap time since the last iteration. */
   void NoteIterationGap(Duration aGap);
