DRAIN: expiries count from the return of the store, not from when a host reads

What callers saw: a host that had started about a second before sent requests to an endpoint later than 2 s after the store had accepted its leaving.

Cause: an entry is removed when its endpoint leaves, and also when the store was away for so long that it could not be renewed. A host took each removal within 1.5 s of its own first confirmed view for the latter, and kept the endpoint for 1.8 s from when it read of the removal. Whatever made it read late came on top.

Ruled out: that the host learns too late (0.3 to 0.4 s), that requests go on after the drop (none).

Change: core/view/store_availability keeps since when the store has answered without an interruption, from this host's calls, from the ages in other hosts' summaries, and from the period that each pull now brings (available_us, which earlier versions ignore and need not send). A removal may be an expiry until 1.8 s after the beginning of that period, whenever a host reads of it. So one that left after the period began is dropped within 1.8 s of its leaving, and one that expired has its time from the return of the store. A restored store begins a new period. A removal counts as a leaving once the period is over, also if the store is then restored from a copy that lists the endpoint.

--- a/core/endpoints/endpoint_registry.cpp
+++ b/core/endpoints/endpoint_registry.cpp
@@ -3,14 +3,6 @@
 #include <algorithm>
 
 namespace papayawheel {
-namespace {
-
-/** Grace period: an entry that expired while the store was unreachable is
- * published again, or dropped, within two seconds of the store's return. */
-constexpr std::chrono::milliseconds kExpiryGrace{1800};
-
-}  // namespace
-
 EndpointRegistry::EndpointRegistry()
     : mSnapshot(std::make_shared<EndpointMap>()) {}
 
@@ -20,14 +12,14 @@
   mSnapshot.reset();
 }
 
-void EndpointRegistry::Remove(const std::string& aId, bool aMayHaveExpired,
+void EndpointRegistry::Remove(const std::string& aId, TimePoint aKeptUntil,
                               TimePoint aNow) {
   const auto found = mEndpoints.find(aId);
   if (found == mEndpoints.end()) {
     return;
   }
-  if (aMayHaveExpired && !found->second.mDraining) {
-    mMissing.emplace(aId, aNow + kExpiryGrace);
+  if (aKeptUntil > aNow && !found->second.mDraining) {
+    mMissing.emplace(aId, aKeptUntil);
     return;
   }
   mEndpoints.erase(found);
@@ -35,10 +27,11 @@
   mSnapshot.reset();
 }
 
-std::vector<std::string> EndpointRegistry::Tick(TimePoint aNow) {
+std::vector<std::string> EndpointRegistry::Tick(TimePoint aKeptUntil,
+                                                TimePoint aNow) {
   std::vector<std::string> dropped;
   for (auto it = mMissing.begin(); it != mMissing.end();) {
-    if (it->second > aNow) {
+    if (std::min(it->second, aKeptUntil) > aNow) {
       ++it;
       continue;
     }
--- a/core/endpoints/endpoint_registry.h
+++ b/core/endpoints/endpoint_registry.h
@@ -12,9 +12,9 @@
 namespace papayawheel {
 
 /** The published endpoints that requests may be routed to. A removed entry is
- * dropped immediately, unless the store was unreachable for the host lately:
- * then the entry may have expired while the endpoint still runs, and it is kept
- * for a grace period so that the endpoint can publish itself again. */
+ * dropped immediately, unless it may have expired while the endpoint still
+ * runs: then it is kept for a while, so that the endpoint can publish itself
+ * again. */
 class EndpointRegistry {
  public:
   EndpointRegistry();
@@ -23,11 +23,14 @@
   void Put(const EndpointEntry& aEntry);
 
   /** Handles an entry that was removed from the store or is no longer readable.
-   * @param aMayHaveExpired whether the store was unreachable lately. */
-  void Remove(const std::string& aId, bool aMayHaveExpired, TimePoint aNow);
+   * @param aKeptUntil until when the entry may have expired while the endpoint
+   * still runs; see StoreAvailability. An entry that was draining has left. */
+  void Remove(const std::string& aId, TimePoint aKeptUntil, TimePoint aNow);
 
-  /** Drops missing entries whose grace period is over and returns their ids. */
-  std::vector<std::string> Tick(TimePoint aNow);
+  /** Drops missing entries that are no longer kept and returns their ids.
+   * @param aKeptUntil the same time as it is known now: another host may have
+   * told since that the store was not away. */
+  std::vector<std::string> Tick(TimePoint aKeptUntil, TimePoint aNow);
 
   /** Time at which Tick() will drop the next entry, if any is missing. */
   [[nodiscard]] std::optional<TimePoint> NextDue() const;
@@ -37,7 +40,7 @@
 
  private:
   EndpointMap mEndpoints;
-  /** Missing entries, by id, and the end of their grace period. */
+  /** Missing entries, by id, and until when they are kept. */
   std::map<std::string, TimePoint> mMissing;
   std::shared_ptr<const EndpointMap> mSnapshot;
 };
--- a/core/view/store_change.h
+++ b/core/view/store_change.h
@@ -19,9 +19,11 @@
   /** The era of the store that mRevision belongs to. Set only in changes of
    * earlier eras; see StoreDelta::mLost. */
   std::uint64_t mEra = 0;
-  /** Of a removed key: the order of the last value that was known; empty if the
-   * entry may have expired although its writer lives. */
+  /** Of a removed key: the order of the last value that was known. */
   std::optional<WriteOrder> mOrder = std::nullopt;
+  /** Of a removed key: whether the entry may have expired although its writer
+   * lives, and the time to publish it again is not over. */
+  bool mMayHaveExpired = false;
 };
 
 /** A range of revisions whose changes were not observed. The view was replaced
--- a/core/view/store_view.cpp
+++ b/core/view/store_view.cpp
@@ -110,7 +110,7 @@
   for (auto& [key, item] : before) {
     if (const StoreChange* const lost = mLost.Superseding(item)) {
       item = *lost;
-    } else {
+    } else if (!item.mMayHaveExpired) {
       item.mEra = mEra;
       mLost.Keep(item);
     }
@@ -149,9 +149,10 @@
 
 bool StoreView::Store(StoreChange aChange, bool aMayHaveExpired) {
   StoreChange& item = mItems[aChange.mKey];
-  if (!aChange.mValue && !aMayHaveExpired) {
+  if (!aChange.mValue) {
     const StoreChange* const lost = mLost.Superseding(item);
     aChange.mOrder = mLost.OrderOf(lost == nullptr ? item : *lost);
+    aChange.mMayHaveExpired = aMayHaveExpired;
   }
   item = std::move(aChange);
   if (mLost.Superseding(item) != nullptr) {
@@ -189,6 +190,12 @@
   return lost == nullptr ? stored->second.mValue : lost->mValue;
 }
 
+void StoreView::ConfirmRemovals() {
+  for (auto& [key, item] : mItems) {
+    item.mMayHaveExpired = false;
+  }
+}
+
 std::vector<StoreChange> StoreView::DropLostRemovals() {
   mDropsLostRemovals = true;
   std::vector<StoreChange> applied;
--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -38,7 +38,8 @@
    * earlier era. Only a full delta begins a new era. A delta that is not full
    * must not start after AsOf().
    * @param aMayHaveExpired whether removed entries may have expired although
-   * their writers live. Such removals end if the store is restored. */
+   * their writers live. Such removals end if the store is restored before
+   * ConfirmRemovals(). */
   std::vector<StoreChange> Apply(const StoreDelta& aDelta,
                                  bool aMayHaveExpired = false);
 
@@ -63,6 +64,10 @@
   }
   /** A number that is equal for equal sets of lost changes; 0 for none. */
   [[nodiscard]] std::uint64_t LostDigest() const { return mLostDigest; }
+  /** The time to publish expired entries again is over: those that are still
+   * removed have been removed by their writers, or for them. */
+  void ConfirmRemovals();
+
   /** Lets the store's items replace the removals that it has lost, also those
    * that other hosts still know. Returns the changes. */
   std::vector<StoreChange> DropLostRemovals();
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -57,12 +57,6 @@
  * the view. */
 constexpr milliseconds kMaxRepeatedReadDelay{50};
 
-/** If the view has not been confirmed for kStoreUnreachableAge, the store
- * counts as unreachable, and still does for kReconnectPeriod after the view has
- * been confirmed again. */
-constexpr milliseconds kStoreUnreachableAge{2500};
-constexpr milliseconds kReconnectPeriod{1500};
-
 /** After a suspension the host reads the store by itself within this time,
  * since confirmations of others may be older than the suspension. */
 constexpr milliseconds kResumeReadSpread{50};
@@ -98,7 +92,6 @@
       mStartedAt(aNow),
       mMaxConfirmationAge(kMaxConfirmationAge + Jitter(kMaxConfirmationSpread)),
       mInvalidatedAt(aNow),
-      mReconnectedAt(aNow),
       mNextCall(aNow) {
   const Duration delay =
       aIsFirstStart ? kFirstFleetStartDelay : kFirstReadDelay;
@@ -114,6 +107,10 @@
         std::min<TimePoint>(mNextCall, aNow + Jitter(kReaderRetryDelay));
   }
   mRole = aRole;
+  if (mHasUnconfirmedRemovals && aNow >= ExpiriesUntil(aNow)) {
+    mHasUnconfirmedRemovals = false;
+    mView.ConfirmRemovals();
+  }
   const bool isOld = !mConfirmedAt || aNow - *mConfirmedAt > kAskReadersAge;
   if (!IsConfirmer() && isOld && aNow >= mNextReaderQuery) {
     mNextReaderQuery = aNow + kAskReadersInterval;
@@ -176,6 +173,10 @@
   if (aSummary.mNewest == 0) {
     return actions;
   }
+  if (aSummary.mAge) {
+    const TimePoint answeredAt = aNow - *aSummary.mAge;
+    mAvailability.NoteAvailable(aSummary.mEra, {answeredAt, answeredAt});
+  }
   const bool isSameEra = aSummary.mEra == mView.Era();
   const bool isOld = aSummary.mEra < mView.Era() ||
                      (isSameEra && aSummary.mAsOf < mView.Newest());
@@ -190,7 +191,7 @@
   if (isEqual) {
     mView.Advance(aSummary.mAsOf);
     if (aSummary.mAge) {
-      Confirm(aNow - *aSummary.mAge, aSummary.mConfirmation, aNow);
+      Confirm(aNow - *aSummary.mAge, aSummary.mConfirmation);
     }
     if (!HasOtherLostChanges(aSummary)) {
       return actions;
@@ -232,10 +233,10 @@
                                                  TimePoint aNow) {
   const bool wasLoaded = mView.IsLoaded();
   const std::uint64_t before = mView.Era();
-  std::vector<StoreChange> changes =
-      mView.Apply(aDelta, WasStoreUnreachable(aNow));
+  const bool mayHaveExpired = ExpiriesUntil(aNow) > aNow;
+  std::vector<StoreChange> changes = mView.Apply(aDelta, mayHaveExpired);
+  mHasUnconfirmedRemovals = mHasUnconfirmedRemovals || mayHaveExpired;
   if (wasLoaded && mView.Era() != before) {
-    mReconnectedAt = aNow;
     mPulledLost.clear();
     mLostRemovalsUntil.reset();
   }
@@ -266,28 +267,41 @@
 }
 
 std::vector<StoreChange> ViewSynchronizer::FinishPull(
-    const std::optional<StoreDelta>& aDelta, std::optional<Duration> aAge,
-    std::uint64_t aConfirmation, TimePoint aNow) {
+    const std::optional<ViewTransfer>& aTransfer, TimePoint aNow) {
   mPulling = false;
-  if (!aDelta || (!aDelta->mFull && !mView.IsLoaded())) {
+  if (!aTransfer || (!aTransfer->mDelta.mFull && !mView.IsLoaded())) {
     return {};
   }
-  std::vector<StoreChange> changes = Apply(*aDelta, aNow);
-  if (aDelta->mEra == mView.Era()) {
+  // Before the changes are applied, as they are judged by it.
+  NoteAvailability(*aTransfer);
+  const StoreDelta& delta = aTransfer->mDelta;
+  std::vector<StoreChange> changes = Apply(delta, aNow);
+  if (delta.mEra == mView.Era()) {
     mNeedsFullRead = false;
-    if (aAge) {
+    if (aTransfer->mAge) {
       // The age was that of the moment when the other host answered.
-      Confirm(mPullAt - *aAge, aConfirmation, aNow);
+      Confirm(mPullAt - *aTransfer->mAge, aTransfer->mConfirmation);
     }
   }
-  ConfirmAnnounced(aNow);
+  ConfirmAnnounced();
   if (mAnnouncedNewest == 0) {
     mOtherSources.clear();
   }
   return changes;
 }
 
-void ViewSynchronizer::ConfirmAnnounced(TimePoint aNow) {
+void ViewSynchronizer::NoteAvailability(const ViewTransfer& aTransfer) {
+  const std::uint64_t era = aTransfer.mDelta.mEra;
+  if (aTransfer.mAvailable) {
+    mAvailability.NoteAvailable(era, {mPullAt - aTransfer.mAvailable->mFrom,
+                                      mPullAt - aTransfer.mAvailable->mUntil});
+  } else if (aTransfer.mAge) {
+    const TimePoint answeredAt = mPullAt - *aTransfer.mAge;
+    mAvailability.NoteAvailable(era, {answeredAt, answeredAt});
+  }
+}
+
+void ViewSynchronizer::ConfirmAnnounced() {
   if (mAnnouncedNewest == 0 || mAnnouncedEra > mView.Era()) {
     return;
   }
@@ -296,28 +310,38 @@
     return;
   }
   if (isSameEra) {
-    Confirm(mAnnouncedAt, mAnnouncedConfirmation, aNow);
+    Confirm(mAnnouncedAt, mAnnouncedConfirmation);
   }
   mAnnouncedNewest = 0;
 }
 
-std::optional<StoreDelta> ViewSynchronizer::ServePull(std::uint64_t aEra,
-                                                      std::uint64_t aRevision,
-                                                      TimePoint aNow) {
+std::optional<ViewTransfer> ViewSynchronizer::ServePull(std::uint64_t aEra,
+                                                        std::uint64_t aRevision,
+                                                        TimePoint aNow) {
   if (mSendingUntil > aNow + kMaxSendBacklog) {
     return std::nullopt;
   }
-  StoreDelta delta = mView.Since(aEra == mView.Era() ? aRevision : 0);
+  const ViewSummary summary = Summary(aNow);
+  ViewTransfer transfer{mView.Since(aEra == mView.Era() ? aRevision : 0),
+                        summary.mAge, summary.mConfirmation};
+  if (const auto& available = mAvailability.Latest()) {
+    const auto age = [aNow](TimePoint aTime) {
+      return std::chrono::duration_cast<Duration>(aNow - aTime);
+    };
+    transfer.mAvailable =
+        PeriodAges{age(available->mFrom), age(available->mUntil)};
+  }
   const std::chrono::duration<double> sending(
-      static_cast<double>(TransferSize(delta)) / kSendBytesPerSecond);
+      static_cast<double>(TransferSize(transfer.mDelta)) / kSendBytesPerSecond);
   mSendingUntil = std::max<TimePoint>(mSendingUntil, aNow) +
                   std::chrono::duration_cast<Duration>(sending);
-  return delta;
+  return transfer;
 }
 
 std::vector<StoreChange> ViewSynchronizer::StoreAnswered(
     const StoreDelta& aDelta, TimePoint aNow) {
   const TimePoint completeAt = CompleteAt(aDelta, aNow);
+  NoteStoreAnswer(aDelta, aNow);
   mStoreCallPending = false;
   mFailures = 0;
   mAnsweredAt = aNow;
@@ -333,12 +357,22 @@
     mNeedsFullRead = false;
   }
   std::vector<StoreChange> changes = Apply(aDelta, aNow);
-  Confirm(completeAt, NewConfirmation(), aNow);
+  Confirm(completeAt, NewConfirmation());
   mNextCall =
       aNow + (changes.empty() ? Duration::zero() : Duration(kChangeBatchDelay));
   return changes;
 }
 
+void ViewSynchronizer::NoteStoreAnswer(const StoreDelta& aDelta,
+                                       TimePoint aNow) {
+  // A watch may wait while the store is away, so it shows only that the store
+  // was there at its end. A host that is late may handle it later.
+  const TimePoint due =
+      mStoreCallPending ? std::min<TimePoint>(aNow, mStoreCallAt + mWatchWait)
+                        : aNow;
+  mAvailability.NoteAvailable(aDelta.mEra, {due, aDelta.mFull ? aNow : due});
+}
+
 TimePoint ViewSynchronizer::CompleteAt(const StoreDelta& aDelta,
                                        TimePoint aNow) const {
   if (!mStoreCallPending) {
@@ -404,13 +438,7 @@
   return summary;
 }
 
-bool ViewSynchronizer::WasStoreUnreachable(TimePoint aNow) const {
-  return !mConfirmedAt || aNow - *mConfirmedAt > kStoreUnreachableAge ||
-         aNow - mReconnectedAt < kReconnectPeriod;
-}
-
-void ViewSynchronizer::Confirm(TimePoint aAt, std::uint64_t aConfirmation,
-                               TimePoint aNow) {
+void ViewSynchronizer::Confirm(TimePoint aAt, std::uint64_t aConfirmation) {
   if (mInvalidatedAt && aAt < *mInvalidatedAt) {
     return;
   }
@@ -420,9 +448,6 @@
     mConfirmedAt = std::min(*mConfirmedAt, aAt);
     return;
   }
-  if (!mConfirmedAt || aNow - *mConfirmedAt > kStoreUnreachableAge) {
-    mReconnectedAt = aNow;
-  }
   mInvalidatedAt.reset();
   if (!mConfirmedAt || aAt > *mConfirmedAt) {
     mConfirmedAt = aAt;
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -11,7 +11,9 @@
 #include "core/base/clock.h"
 #include "core/gossip/gossip_message.h"
 #include "core/view/reader_ranking.h"
+#include "core/view/store_availability.h"
 #include "core/view/store_view.h"
+#include "core/view/view_transfer.h"
 
 namespace papayawheel {
 
@@ -79,24 +81,20 @@
                               const ViewSummary& aSummary, TimePoint aNow);
 
   /** A pull has ended. Returns the changes that were not known yet.
-   * @param aDelta what the other host sent; empty if the pull failed.
-   * @param aAge time since the other host's view was last confirmed; empty if
-   * it is not confirmed.
-   * @param aConfirmation see ViewSummary::mConfirmation. */
-  std::vector<StoreChange> FinishPull(const std::optional<StoreDelta>& aDelta,
-                                      std::optional<Duration> aAge,
-                                      std::uint64_t aConfirmation,
-                                      TimePoint aNow);
+   * @param aTransfer what the other host sent; empty if the pull failed. */
+  std::vector<StoreChange> FinishPull(
+      const std::optional<ViewTransfer>& aTransfer, TimePoint aNow);
   /** Returns a pull from another host after a pull that failed or left out
    * changes that were announced during it; empty if there is no other source.
    */
   ViewActions PullFromNextSource(TimePoint aNow);
 
-  /** Returns the delta for another host that has every change up to a revision
-   * of an era. Empty while so much data is being sent that it would arrive too
-   * late. */
-  std::optional<StoreDelta> ServePull(std::uint64_t aEra,
-                                      std::uint64_t aRevision, TimePoint aNow);
+  /** Returns the changes for another host that has every change up to a
+   * revision of an era. Empty while so much data is being sent that it would
+   * arrive too late. */
+  std::optional<ViewTransfer> ServePull(std::uint64_t aEra,
+                                        std::uint64_t aRevision,
+                                        TimePoint aNow);
 
   /** The store answered a read or a watch. Returns the changes that were not
    * known yet. */
@@ -124,26 +122,40 @@
   [[nodiscard]] bool IsConfirmer() const {
     return mRole == ReaderRole::Confirmer;
   }
-  /** Whether the view has not been confirmed for some time, or was not until
-   * recently, or the store was restored recently. Removals seen then may be
-   * entries that expired only because they could not be renewed while the store
-   * was unreachable, or that the store has lost. */
-  [[nodiscard]] bool WasStoreUnreachable(TimePoint aNow) const;
+  /** Until when removed entries may have expired only because they could not be
+   * renewed while the store was away, or may be missing only because it was
+   * restored. */
+  [[nodiscard]] TimePoint ExpiriesUntil(TimePoint aNow) const {
+    return mAvailability.ExpiriesUntil(aNow);
+  }
+  /** The same for one removal that was just applied. A removal that a restored
+   * store lost was seen before, and is no expiry. */
+  [[nodiscard]] TimePoint ExpiryUntil(const StoreChange& aRemoval,
+                                      TimePoint aNow) const {
+    return aRemoval.mEra == 0 ? ExpiriesUntil(aNow) : aNow;
+  }
+  [[nodiscard]] const StoreAvailability& Availability() const {
+    return mAvailability;
+  }
   [[nodiscard]] const StoreView& View() const { return mView; }
 
  private:
+  /** Records the period that another host sent with its view. */
+  void NoteAvailability(const ViewTransfer& aTransfer);
   /** Applies a delta and notes whether it began a new era. */
   std::vector<StoreChange> Apply(const StoreDelta& aDelta, TimePoint aNow);
   /** Whether another host's lost changes differ from those here and have not
    * been pulled yet. */
   [[nodiscard]] bool HasOtherLostChanges(const ViewSummary& aSummary) const;
   /** Confirms the view if it includes what another host announced. */
-  void ConfirmAnnounced(TimePoint aNow);
+  void ConfirmAnnounced();
   PullView PullFrom(const std::string& aControlAddress, TimePoint aNow);
   /** Records that the view included every change of the store at a time.
    * @param aConfirmation identifies the answer of the store that showed it; 0
    * if unknown. */
-  void Confirm(TimePoint aAt, std::uint64_t aConfirmation, TimePoint aNow);
+  void Confirm(TimePoint aAt, std::uint64_t aConfirmation);
+  /** Records that the store answered the call under way. */
+  void NoteStoreAnswer(const StoreDelta& aDelta, TimePoint aNow);
   /** The time at which the view included every change, by the answer to the
    * call under way that has just arrived. */
   [[nodiscard]] TimePoint CompleteAt(const StoreDelta& aDelta,
@@ -164,7 +176,12 @@
    * itself. */
   Duration mMaxConfirmationAge;
   std::optional<TimePoint> mInvalidatedAt;
-  TimePoint mReconnectedAt;
+  /** Judges removals. Unlike mConfirmedAt, it also counts what others knew
+   * before this host started or was suspended, as that is about the store and
+   * not about the view. */
+  StoreAvailability mAvailability;
+  /** Whether removals were applied that may have been expiries. */
+  bool mHasUnconfirmedRemovals = false;
   ReaderRole mRole = ReaderRole::None;
   /** Whether a read or a watch of the store is under way, and since when. */
   bool mStoreCallPending = false;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -166,7 +166,8 @@
 }
 
 void GatewayControl::DropMissingEndpoints(TimePoint aNow) {
-  const std::vector<std::string> dropped = mRegistry.Tick(aNow);
+  const std::vector<std::string> dropped =
+      mRegistry.Tick(mSynchronizer.ExpiriesUntil(aNow), aNow);
   for (const std::string& id : dropped) {
     Log(LogLevel::Info, "endpoint_dropped", {{"endpoint", id}});
   }
@@ -323,6 +324,7 @@
   }
   PublishViewFreshness();
   NoteEra();
+  NoteAvailability();
   // Announced first, so that other hosts fetch the changes while this host
   // decodes them.
   const bool fromStore = aSource == "watch" || aSource == "read";
@@ -369,6 +371,17 @@
   mLoggedEra = view.Era();
 }
 
+void GatewayControl::NoteAvailability() {
+  const auto& available = mSynchronizer.Availability().Latest();
+  if (!available || available->mFrom == mLoggedAvailableFrom) {
+    return;
+  }
+  mLoggedAvailableFrom = available->mFrom;
+  const auto age = mClock.Now() - available->mFrom;
+  Log(LogLevel::Info, "store_available_since",
+      {{"age_us", std::chrono::duration_cast<Duration>(age).count()}});
+}
+
 void GatewayControl::ApplyConfiguration(const StoreChange& aChange) {
   const auto decoded =
       platform::DecodeConfiguration(aChange.mValue.value_or(""));
@@ -392,23 +405,23 @@
                                    const StoreChange& aChange) {
   const TimePoint now = mClock.Now();
   if (!aChange.mValue) {
-    // The removal that a restored store lost was seen before.
-    const bool wasLost = aChange.mEra != 0;
-    const bool mayHaveExpired =
-        !wasLost && mSynchronizer.WasStoreUnreachable(now);
+    const TimePoint keptUntil = mSynchronizer.ExpiryUntil(aChange, now);
+    const auto kept = std::max<TimePoint::duration>(
+        keptUntil - now, TimePoint::duration::zero());
     Log(LogLevel::Info, "endpoint_removed",
         {{"endpoint", aId},
          {"revision", aChange.mRevision},
-         {"may_have_lapsed", mayHaveExpired},
-         {"lost_by_store", wasLost}});
-    mRegistry.Remove(aId, mayHaveExpired, now);
+         {"may_have_lapsed", keptUntil > now},
+         {"kept_us", std::chrono::duration_cast<Duration>(kept).count()},
+         {"lost_by_store", aChange.mEra != 0}});
+    mRegistry.Remove(aId, keptUntil, now);
     return;
   }
   const auto decoded = platform::DecodeEndpoint(aId, *aChange.mValue);
   if (!decoded.mValue) {
     Log(LogLevel::Warning, "endpoint_unreadable",
         {{"endpoint", aId}, {"reason", decoded.mReason}});
-    mRegistry.Remove(aId, false, now);
+    mRegistry.Remove(aId, now, now);
     return;
   }
   // The entries of the first view are logged at level Debug only: hundreds of
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -105,6 +105,9 @@
                     const std::string& aSource);
   /** Logs that the store was restored from a copy. */
   void NoteEra();
+  /** Logs since when the store has been available, by which removals are
+   * judged, if that has changed. */
+  void NoteAvailability();
   void ApplyConfiguration(const StoreChange& aChange);
   void ApplyEndpoint(const std::string& aId, const StoreChange& aChange);
   void PublishView();
@@ -140,6 +143,7 @@
   bool mHasPublishedView = false;
   bool mWasStoreFailing = false;
   std::uint64_t mLoggedEra = 0;
+  std::optional<TimePoint> mLoggedAvailableFrom;
   /** The read or watch of the store under way; 0 if there is none. */
   HttpClient::Id mStoreCall = 0;
   TimePoint mLastIteration;
--- a/servers/gateway_control_api.cpp
+++ b/servers/gateway_control_api.cpp
@@ -22,13 +22,12 @@
   if (path == kViewTransferPath) {
     const TimePoint now = mClock.Now();
     const std::string target = aExchange->Target();
-    const auto delta = mSynchronizer.ServePull(
+    const auto transfer = mSynchronizer.ServePull(
         QueryNumber(target, "era"), QueryNumber(target, "after"), now);
-    if (delta) {
-      ++(delta->mFull ? mCounts.mCopiesServed : mCounts.mDeltasServed);
-      const ViewSummary summary = mSynchronizer.Summary(now);
-      reply.mBody =
-          EncodeView(ViewTransfer{*delta, summary.mAge, summary.mConfirmation});
+    if (transfer) {
+      ++(transfer->mDelta.mFull ? mCounts.mCopiesServed
+                                : mCounts.mDeltasServed);
+      reply.mBody = EncodeView(*transfer);
       reply.mMayCompress = true;
     } else {
       ++mCounts.mPullsRefused;
--- a/servers/gateway_control_calls.cpp
+++ b/servers/gateway_control_calls.cpp
@@ -142,27 +142,19 @@
   mClient.Send(call, [this, pull = aPull](const HttpResult& aResult) {
     const bool answered = aResult.mKind == HttpResultKind::Answered &&
                           aResult.mStatus == http_status::kOk;
-    auto transfer = answered ? DecodeView(aResult.mBody) : std::nullopt;
-    std::optional<StoreDelta> delta;
-    std::optional<Duration> age;
-    const std::uint64_t confirmation = transfer ? transfer->mConfirmation : 0;
-    if (transfer) {
-      delta = std::move(transfer->mDelta);
-      age = transfer->mAge;
-    }
-    const auto changes =
-        mSynchronizer.FinishPull(delta, age, confirmation, mClock.Now());
+    const auto transfer = answered ? DecodeView(aResult.mBody) : std::nullopt;
+    const auto changes = mSynchronizer.FinishPull(transfer, mClock.Now());
     ApplyChanges(changes, pull.mAddress);
-    if (delta && changes.empty()) {
+    if (transfer && changes.empty()) {
       // The other host had announced a newer view.
       Log(LogLevel::Info, "pull_without_change",
           {{"peer", pull.mAddress},
            {"after", pull.mAfter},
-           {"as_of", delta->mAsOf},
-           {"full", delta->mFull},
+           {"as_of", transfer->mDelta.mAsOf},
+           {"full", transfer->mDelta.mFull},
            {"revision", mSynchronizer.View().Newest()}});
     }
-    if (!delta) {
+    if (!transfer) {
       Log(LogLevel::Info, "pull_failed",
           {{"peer", pull.mAddress},
            {"status", aResult.mStatus},
--- a/servers/gossip_codec.cpp
+++ b/servers/gossip_codec.cpp
@@ -212,6 +212,20 @@
   return change;
 }
 
+/** An unknown period is encoded as null. */
+Json RenderPeriod(const std::optional<PeriodAges>& aPeriod) {
+  return aPeriod
+             ? Json::array({aPeriod->mFrom.count(), aPeriod->mUntil.count()})
+             : Json(nullptr);
+}
+
+std::optional<PeriodAges> ParsePeriod(const Json& aPeriod) {
+  if (aPeriod.is_null()) {
+    return std::nullopt;
+  }
+  return PeriodAges{ParseElapsed(aPeriod.at(0)), ParseElapsed(aPeriod.at(1))};
+}
+
 StoreChange ParseChange(const Json& aChange) {
   StoreChange change;
   change.mKey = aChange.at(0).get<std::string>();
@@ -338,6 +352,7 @@
                          {"as_of", aTransfer.mDelta.mAsOf},
                          {"age_us", RenderAge(aTransfer.mAge)},
                          {"confirmation", aTransfer.mConfirmation},
+                         {"available_us", RenderPeriod(aTransfer.mAvailable)},
                          {"changes", changes},
                          {"gaps", gaps}};
   // Values that others wrote to the store may not be valid UTF-8.
@@ -358,8 +373,11 @@
         transfer.mDelta.mLost.push_back(ParseLost(change));
       }
     }
-    // Earlier versions of the program send none.
+    // Earlier versions of the program send neither of these.
     transfer.mConfirmation = document.value("confirmation", std::uint64_t{0});
+    if (document.contains("available_us")) {
+      transfer.mAvailable = ParsePeriod(document.at("available_us"));
+    }
     for (const Json& change : document.at("changes")) {
       transfer.mDelta.mChanges.push_back(ParseChange(change));
     }
--- a/servers/gossip_codec.h
+++ b/servers/gossip_codec.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "core/gossip/gossip_message.h"
-#include "core/view/store_view.h"
+#include "core/view/view_transfer.h"
 
 namespace papayawheel {
 
@@ -19,15 +19,6 @@
 /** Path at which a host serves changes of its store view to other hosts. */
 constexpr std::string_view kViewTransferPath = "/view";
 
-/** Changes of the store view that one host sends to another. */
-struct ViewTransfer {
-  StoreDelta mDelta;
-  /** Time since the sender's view was confirmed; empty if it is not. */
-  std::optional<Duration> mAge;
-  /** See ViewSummary::mConfirmation. */
-  std::uint64_t mConfirmation = 0;
-};
-
 /** Encodes a transfer as JSON. */
 std::string EncodeView(const ViewTransfer& aTransfer);
 /** Decodes a transfer. Returns nothing if it is malformed. */
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -14,7 +14,6 @@
 using std::chrono::seconds;
 
 constexpr milliseconds kHostDelay{2};
-constexpr milliseconds kStoreDelay{4};
 /** Time-out of reads of the store, and how long after the end of its wait a
  * watch times out. */
 constexpr milliseconds kStoreTimeout{1000};
@@ -81,6 +80,7 @@
   host.mGossip->SetViewSource([this, synchronizer = host.mSynchronizer.get()] {
     return synchronizer->Summary(mEvents.Now());
   });
+  host.mRegistry = EndpointRegistry();
   host.mAlive = true;
   host.mSuspended = false;
   host.mCallsStore = false;
@@ -117,7 +117,14 @@
       // The answer is lost, so the host waits for its time-out.
       continue;
     }
-    mEvents.After(kStoreDelay, [this, one] { AnswerWatch(one); });
+    mEvents.After(mStoreDelay, [this, one] { AnswerWatch(one); });
+  }
+}
+
+void GossipFleet::CutWatches() {
+  for (const PendingRead& one : std::exchange(mPendingReads, {})) {
+    mEvents.After(kHostDelay,
+                  [this, one] { StoreFailed(one, StoreFailure::NoAnswer); });
   }
 }
 
@@ -132,7 +139,7 @@
   ++mEra;
   mHistoryFrom = std::min(mHistoryFrom, mRevision);
   for (const PendingRead& one : std::exchange(mPendingReads, {})) {
-    mEvents.After(kStoreDelay, [this, one] {
+    mEvents.After(mStoreDelay, [this, one] {
       StoreFailed(one, StoreFailure::HistoryUnavailable);
     });
   }
@@ -148,7 +155,7 @@
 void GossipFleet::DropHistory() {
   mHistoryFrom = mRevision;
   for (const PendingRead& one : std::exchange(mPendingReads, {})) {
-    mEvents.After(kStoreDelay, [this, one] {
+    mEvents.After(mStoreDelay, [this, one] {
       StoreFailed(one, StoreFailure::HistoryUnavailable);
     });
   }
@@ -229,7 +236,8 @@
       RoleOf(host.mGossip->Self(),
              ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
   Act(aHost, host.mSynchronizer->Tick(role, now));
-  host.mSynchronizer->ExpireLostRemovals(now);
+  ApplyEndpoints(aHost, host.mSynchronizer->ExpireLostRemovals(now));
+  host.mRegistry.Tick(host.mSynchronizer->ExpiriesUntil(now), now);
   Schedule(aHost);
 }
 
@@ -237,7 +245,8 @@
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
   const TimePoint due = std::clamp(
-      std::min(host.mGossip->NextDue(), host.mSynchronizer->NextDue(now)),
+      std::min({host.mGossip->NextDue(), host.mSynchronizer->NextDue(now),
+                host.mRegistry.NextDue().value_or(TimePoint::max())}),
       now + milliseconds(1), now + kMaxIterationInterval);
   host.mNextIterationAt = due;
   mEvents.At(due, [this, aHost, due, epoch = host.mEpoch] {
@@ -311,7 +320,7 @@
                                                watch->mAfter <= mRevision);
   if (!hasHistory) {
     const PendingRead gone{aHost, epoch, 0, 0};
-    mEvents.After(kStoreDelay, [this, gone] {
+    mEvents.After(mStoreDelay, [this, gone] {
       StoreFailed(gone, StoreFailure::HistoryUnavailable);
     });
     return;
@@ -325,7 +334,7 @@
   }
   const PendingRead read{aHost, epoch, watch == nullptr ? 0 : watch->mAfter,
                          ++mLastWatch};
-  mEvents.After(kStoreDelay, [this, read] { AnswerWatch(read); });
+  mEvents.After(mStoreDelay, [this, read] { AnswerWatch(read); });
 }
 
 void GossipFleet::EndWatch(const PendingRead& aRead) {
@@ -360,7 +369,7 @@
   host.mCallsStore = false;
   const auto changes = host.mSynchronizer->StoreAnswered(
       StoreSince(aRead.mAfter), mEvents.Now());
-  ViewUpdated(aRead.mHost, !changes.empty(), true);
+  ViewUpdated(aRead.mHost, changes, true);
 }
 
 void GossipFleet::StoreFailed(const PendingRead& aRead, StoreFailure aFailure) {
@@ -373,14 +382,41 @@
   RunIteration(aRead.mHost);
 }
 
-void GossipFleet::ViewUpdated(std::size_t aHost, bool aChanged,
+void GossipFleet::ApplyEndpoints(std::size_t aHost,
+                                 const std::vector<StoreChange>& aChanges) {
+  Host& host = mHosts[aHost];
+  const TimePoint now = mEvents.Now();
+  for (const StoreChange& change : aChanges) {
+    if (!change.mKey.starts_with("endpoint")) {
+      continue;
+    }
+    if (change.mValue) {
+      EndpointEntry entry;
+      entry.mId = change.mKey;
+      host.mRegistry.Put(entry);
+    } else {
+      host.mRegistry.Remove(change.mKey,
+                            host.mSynchronizer->ExpiryUntil(change, now), now);
+    }
+  }
+}
+
+bool GossipFleet::Uses(std::size_t aHost, const std::string& aKey) {
+  return mHosts[aHost].mAlive &&
+         mHosts[aHost].mRegistry.Endpoints()->contains(aKey);
+}
+
+void GossipFleet::ViewUpdated(std::size_t aHost,
+                              const std::vector<StoreChange>& aChanges,
                               bool aFromStore) {
   Host& host = mHosts[aHost];
-  if (!aChanged && aFromStore && host.mSynchronizer->IsConfirmer()) {
+  const bool hasChanged = !aChanges.empty();
+  ApplyEndpoints(aHost, aChanges);
+  if (!hasChanged && aFromStore && host.mSynchronizer->IsConfirmer()) {
     Send(aHost, host.mGossip->BroadcastConfirmation());
-  } else if (aChanged && aFromStore) {
+  } else if (hasChanged && aFromStore) {
     Send(aHost, host.mGossip->BroadcastView(true));
-  } else if (aChanged && host.mGossip->UsesRelays()) {
+  } else if (hasChanged && host.mGossip->UsesRelays()) {
     Send(aHost, host.mGossip->BroadcastView(false));
   }
   RunIteration(aHost);
@@ -402,11 +438,10 @@
                   [this, aHost, epoch] { PullFailed(aHost, epoch); });
     return;
   }
-  const ViewSummary summary = source.Summary(now);
   // The answers of one host are sent one after the other over its link.
   TimePoint& busyUntil = mHosts[peer].mLinkBusyUntil;
   const std::chrono::duration<double> sending(
-      static_cast<double>(kBytesPerTransfer + TransferSize(*offered)) /
+      static_cast<double>(kBytesPerTransfer + TransferSize(offered->mDelta)) /
       mBytesPerSecond);
   busyUntil = std::max<TimePoint>(busyUntil, now) +
               std::chrono::duration_cast<Duration>(sending);
@@ -416,13 +451,13 @@
                   [this, aHost, epoch] { PullFailed(aHost, epoch); });
     return;
   }
-  mEvents.At(arrives, [this, aHost, epoch, delta = *offered, summary] {
+  mEvents.At(arrives, [this, aHost, epoch, transfer = *offered] {
     if (IsUp(aHost, epoch)) {
-      const auto changes = mHosts[aHost].mSynchronizer->FinishPull(
-          delta, summary.mAge, summary.mConfirmation, mEvents.Now());
+      const auto changes =
+          mHosts[aHost].mSynchronizer->FinishPull(transfer, mEvents.Now());
       Act(aHost,
           mHosts[aHost].mSynchronizer->PullFromNextSource(mEvents.Now()));
-      ViewUpdated(aHost, !changes.empty(), false);
+      ViewUpdated(aHost, changes, false);
     }
   });
 }
@@ -430,7 +465,7 @@
 void GossipFleet::PullFailed(std::size_t aHost, std::uint64_t aEpoch) {
   if (IsUp(aHost, aEpoch)) {
     ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
-    synchronizer.FinishPull(std::nullopt, std::nullopt, 0, mEvents.Now());
+    synchronizer.FinishPull(std::nullopt, mEvents.Now());
     Act(aHost, synchronizer.PullFromNextSource(mEvents.Now()));
   }
 }
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/endpoints/endpoint_registry.h"
 #include "core/gossip/gossip_engine.h"
 #include "core/view/view_synchronizer.h"
 #include "model/event_queue.h"
@@ -28,6 +29,10 @@
   /** Writes or removes one key of the store. */
   void Write(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
+  /** Ends the watches that wait in the store, without an answer. */
+  void CutWatches();
+  /** Sets how long the store takes for an answer. */
+  void SetStoreDelay(Duration aDelay) { mStoreDelay = aDelay; }
   /** Takes a copy of the store, which RestoreStore() brings back. */
   void CopyStore();
   /** The store comes back from its copy: what was written since is gone, and
@@ -57,6 +62,9 @@
   /** Whether a host holds this value of a key; empty if the key is removed. */
   [[nodiscard]] bool Holds(std::size_t aHost, const std::string& aKey,
                            const std::optional<std::string>& aValue) const;
+  /** Whether a host routes requests to the endpoint whose entry is at a key.
+   * Keys of endpoints begin with "endpoint". */
+  [[nodiscard]] bool Uses(std::size_t aHost, const std::string& aKey);
   [[nodiscard]] bool IsTrusted(std::size_t aHost) const;
   [[nodiscard]] std::size_t ReachableFrom(std::size_t aHost) const;
   [[nodiscard]] bool Reaches(std::size_t aFrom, std::size_t aTo) const;
@@ -78,6 +86,7 @@
   struct Host {
     std::unique_ptr<GossipEngine> mGossip;
     std::unique_ptr<ViewSynchronizer> mSynchronizer;
+    EndpointRegistry mRegistry;
     bool mAlive = false;
     bool mSuspended = false;
     bool mCutFromHosts = false;
@@ -122,7 +131,10 @@
   void PullFailed(std::size_t aHost, std::uint64_t aEpoch);
   void AnswerWatch(const PendingRead& aRead);
   void EndWatch(const PendingRead& aRead);
-  void ViewUpdated(std::size_t aHost, bool aChanged, bool aFromStore);
+  void ApplyEndpoints(std::size_t aHost,
+                      const std::vector<StoreChange>& aChanges);
+  void ViewUpdated(std::size_t aHost, const std::vector<StoreChange>& aChanges,
+                   bool aFromStore);
   [[nodiscard]] bool IsUp(std::size_t aHost, std::uint64_t aEpoch) const;
   void StoreFailed(const PendingRead& aRead, StoreFailure aFailure);
   [[nodiscard]] StoreDelta StoreSince(std::uint64_t aRevision) const;
@@ -138,6 +150,7 @@
   std::uint64_t mCopiedRevision = 1;
   std::uint64_t mEra = 1;
   double mBytesPerSecond = 1e9;
+  Duration mStoreDelay{std::chrono::milliseconds(4)};
   std::vector<PendingRead> mPendingReads;
   std::uint64_t mRevision = 1;
   std::uint64_t mLastWatch = 0;
--- a/tests/core/test_endpoint_pool.cpp
+++ b/tests/core/test_endpoint_pool.cpp
@@ -298,32 +298,42 @@
 TEST_CASE(
     "endpoint registry: entries that expire while the store is unreachable") {
   struct Case {
-    bool mMayHaveExpired;
+    /** How long after its removal the entry may have expired, as it is known
+     * at the removal and later. */
+    milliseconds mKeptFor;
+    milliseconds mKeptForLater;
     bool mDraining;
     milliseconds mAfter;
     bool mReturns;
     bool mIsListed;
   };
+  constexpr milliseconds kNone{0};
+  constexpr milliseconds kKept{1800};
   const std::vector<Case> cases = {
-      {false, false, milliseconds(0), false, false},
-      {true, false, milliseconds(0), false, true},
-      {true, false, milliseconds(1700), false, true},
-      {true, false, milliseconds(1900), false, false},
-      {true, false, milliseconds(1900), true, true},
-      {true, true, milliseconds(0), false, false},
+      {kNone, kNone, false, kNone, false, false},
+      {kKept, kKept, false, kNone, false, true},
+      {kKept, kKept, false, milliseconds(1700), false, true},
+      {kKept, kKept, false, milliseconds(1900), false, false},
+      {kKept, kKept, false, milliseconds(1900), true, true},
+      {kKept, kKept, true, kNone, false, false},
+      // Another host tells that the store was not away.
+      {kKept, kNone, false, milliseconds(100), false, false},
+      // The store was away again.
+      {kKept, milliseconds(9000), false, milliseconds(1900), false, false},
   };
   for (const Case& one : cases) {
-    CAPTURE(one.mMayHaveExpired);
+    CAPTURE(one.mKeptFor.count());
+    CAPTURE(one.mKeptForLater.count());
     CAPTURE(one.mAfter.count());
     EndpointRegistry registry;
     EndpointEntry entry = MakeEntry("a", "dc1");
     entry.mDraining = one.mDraining;
     registry.Put(entry);
-    registry.Remove("a", one.mMayHaveExpired, kStart);
+    registry.Remove("a", kStart + one.mKeptFor, kStart);
     if (one.mReturns) {
       registry.Put(entry);
     }
-    registry.Tick(kStart + one.mAfter);
+    registry.Tick(kStart + one.mKeptForLater, kStart + one.mAfter);
     CHECK(registry.Endpoints()->contains("a") == one.mIsListed);
   }
 }
--- a/tests/core/test_restored_store.cpp
+++ b/tests/core/test_restored_store.cpp
@@ -303,8 +303,9 @@
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
   const auto copy = after.ServePull(pull.mEra, pull.mAfter, now);
-  CHECK(copy->mFull);
-  before.FinishPull(copy, after.Summary(now).mAge, 1, now);
+  REQUIRE(copy);
+  CHECK(copy->mDelta.mFull);
+  before.FinishPull(copy, now);
   CHECK(before.View().Era() == 2);
   CHECK(before.View().ValueOf("key") == "9");
   CHECK_FALSE(before.View().ValueOf("other"));
@@ -314,14 +315,14 @@
       after.NotePeerSummary("before", before.Summary(now), now);
   REQUIRE(back.size() == 1);
   const auto& pullBack = std::get<PullView>(back.front());
-  const auto changes =
-      after.FinishPull(before.ServePull(pullBack.mEra, pullBack.mAfter, now),
-                       seconds(0), 1, now);
+  const auto changes = after.FinishPull(
+      before.ServePull(pullBack.mEra, pullBack.mAfter, now), now);
   REQUIRE(changes.size() == 1);
   CHECK(after.View().ValueOf("key") == "9");
   CHECK(after.NotePeerSummary("before", before.Summary(now), now).empty());
   // A copy of the earlier era that arrives late changes nothing.
-  after.FinishPull(ReadOf(1, 20, {{"key", 20, "20"}}), seconds(0), 1, now);
+  after.FinishPull(
+      ViewTransfer{ReadOf(1, 20, {{"key", 20, "20"}}), seconds(0), 1}, now);
   CHECK(after.View().ValueOf("key") == "9");
 }
 
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -64,8 +64,9 @@
 TEST_CASE("view synchronizer: when a host may act on its view") {
   ViewSynchronizer synchronizer(kStart, 1, false);
   CHECK_FALSE(synchronizer.IsViewFresh(kStart));
-  synchronizer.FinishPull(StoreDelta{true, 5, {{"key", 4, "x"}}},
-                          milliseconds(100), 1, kStart + milliseconds(50));
+  synchronizer.FinishPull(ViewTransfer{StoreDelta{true, 5, {{"key", 4, "x"}}},
+                                       milliseconds(100), 1},
+                          kStart + milliseconds(50));
   // The other host's view was last confirmed before this process started.
   CHECK_FALSE(synchronizer.IsViewFresh(kStart + milliseconds(50)));
   synchronizer.NotePeerSummary("peer", ViewSummary{4, 5, milliseconds(0)},
@@ -92,8 +93,9 @@
     one.NotePeerSummary("other", fromOther, now);
   }
   const StoreDelta nothing{false, 5, {}};
-  other.FinishPull(nothing, one.Summary(now).mAge,
-                   one.Summary(now).mConfirmation, now);
+  other.FinishPull(ViewTransfer{nothing, one.Summary(now).mAge,
+                                one.Summary(now).mConfirmation},
+                   now);
   CHECK(*one.Summary(now).mAge == now - kStart);
   CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
 }
@@ -115,9 +117,7 @@
       other.NotePeerSummary("started", started.Summary(now), now);
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
-  other.FinishPull(started.ServePull(pull.mEra, pull.mAfter, now),
-                   started.Summary(now).mAge,
-                   started.Summary(now).mConfirmation, now);
+  other.FinishPull(started.ServePull(pull.mEra, pull.mAfter, now), now);
   CHECK_FALSE(other.View().Items().at("removed").mValue);
   // Neither host asks the other one again.
   CHECK(other.NotePeerSummary("started", started.Summary(now), now).empty());
@@ -145,9 +145,7 @@
         other.NotePeerSummary("reader", reader.Summary(now), now);
     for (const ViewAction& action : actions) {
       if (const auto* const pull = std::get_if<PullView>(&action)) {
-        const auto delta = reader.ServePull(pull->mEra, pull->mAfter, now);
-        other.FinishPull(delta, reader.Summary(now).mAge,
-                         reader.Summary(now).mConfirmation, now);
+        other.FinishPull(reader.ServePull(pull->mEra, pull->mAfter, now), now);
       }
     }
   };
--- a/tests/fuzz/fuzz_gossip.cpp
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -42,8 +42,7 @@
     return;
   }
   ViewSynchronizer synchronizer(kNow, 1, true);
-  synchronizer.FinishPull(transfer->mDelta, transfer->mAge,
-                          transfer->mConfirmation, kNow);
+  synchronizer.FinishPull(transfer, kNow);
   synchronizer.ServePull(0, 0, kNow);
   static_cast<void>(synchronizer.Summary(kNow));
 }
--- a/tests/process/gateway_store_restored.sh
+++ b/tests/process/gateway_store_restored.sh
@@ -7,8 +7,6 @@
 source "$(dirname "$0")/../../misc/fleet.sh"
 source "$(dirname "$0")/../../misc/gateway_fleet.sh"
 start_gateways 3
-# Removals just after a start may be entries that have only expired.
-sleep 2
 set_store_fault copy
 put op/config "$(configuration 9 orders)"
 remove servers/o1
--- a/tests/servers/test_gateway_messages.cpp
+++ b/tests/servers/test_gateway_messages.cpp
@@ -333,8 +333,13 @@
   transfer.mDelta.mEra = 3;
   transfer.mDelta.mLost = {{"c", 7, "y", 2, WriteOrder{5, 6}},
                            {"d", 8, std::nullopt, 1}};
+  transfer.mAvailable =
+      PeriodAges{std::chrono::seconds(60), std::chrono::milliseconds(200)};
   const auto view = DecodeView(EncodeView(transfer));
   REQUIRE(view);
+  REQUIRE(view->mAvailable);
+  CHECK(view->mAvailable->mFrom == std::chrono::seconds(60));
+  CHECK(view->mAvailable->mUntil == std::chrono::milliseconds(200));
   CHECK(view->mDelta.mChanges[0].mValue == "x");
   CHECK_FALSE(view->mDelta.mChanges[1].mValue);
   CHECK(view->mDelta.mGaps == transfer.mDelta.mGaps);
@@ -346,6 +351,15 @@
   CHECK_FALSE(view->mDelta.mLost[1].mValue);
   CHECK_FALSE(view->mDelta.mLost[1].mOrder);
   CHECK_FALSE(view->mAge);
+  // Earlier versions do not tell since when the store has been available.
+  auto document = nlohmann::json::parse(EncodeView(transfer));
+  document.erase("available_us");
+  const auto fromEarlierView = DecodeView(document.dump());
+  REQUIRE(fromEarlierView);
+  CHECK_FALSE(fromEarlierView->mAvailable);
+  CHECK(fromEarlierView->mDelta.mEra == 3);
+  document["available_us"] = {1};
+  CHECK_FALSE(DecodeView(document.dump()));
   CHECK_FALSE(DecodeView("{}"));
 }
 
