DRAIN: a removal is dated by when the view was last complete

What callers would see: a host that starts just as the store returns does not know that it was away. An endpoint that runs, whose entry expires a second later, was dropped 1.8 s after the host's first answer, though it has two seconds from the return to publish itself again, and the news needs some time as well.

Cause: one bound stood for two things, the time in which expired entries come back and the time for which an endpoint serves on after it has left. The former counts from the return of the store, the latter from the removal.

Change: StoreAvailability::UsableUntil takes the smaller of both: 2.8 s from the beginning of the store's latest period, and 1.8 s from a time before the removal, which is when the view was last known to be complete (ViewSynchronizer notes it before it applies an answer), but not before that period. While expiries are possible, the confirmer lets its watches wait 0.2 s instead of 0.9 s, so that this time is close to the removal; the confirmations between are not told to others.

--- a/core/endpoints/endpoint_registry.cpp
+++ b/core/endpoints/endpoint_registry.cpp
@@ -12,14 +12,14 @@
   mSnapshot.reset();
 }
 
-void EndpointRegistry::Remove(const std::string& aId, TimePoint aKeptUntil,
+void EndpointRegistry::Remove(const std::string& aId, TimePoint aUsableUntil,
                               TimePoint aNow) {
   const auto found = mEndpoints.find(aId);
   if (found == mEndpoints.end()) {
     return;
   }
-  if (aKeptUntil > aNow && !found->second.mDraining) {
-    mMissing.emplace(aId, aKeptUntil);
+  if (aUsableUntil > aNow && !found->second.mDraining) {
+    mMissing.emplace(aId, aUsableUntil);
     return;
   }
   mEndpoints.erase(found);
@@ -27,11 +27,11 @@
   mSnapshot.reset();
 }
 
-std::vector<std::string> EndpointRegistry::Tick(TimePoint aKeptUntil,
+std::vector<std::string> EndpointRegistry::Tick(TimePoint aExpiriesUntil,
                                                 TimePoint aNow) {
   std::vector<std::string> dropped;
   for (auto it = mMissing.begin(); it != mMissing.end();) {
-    if (std::min(it->second, aKeptUntil) > aNow) {
+    if (std::min(it->second, aExpiriesUntil) > aNow) {
       ++it;
       continue;
     }
--- a/core/endpoints/endpoint_registry.h
+++ b/core/endpoints/endpoint_registry.h
@@ -23,14 +23,14 @@
   void Put(const EndpointEntry& aEntry);
 
   /** Handles an entry that was removed from the store or is no longer readable.
-   * @param aKeptUntil until when the entry may have expired while the endpoint
-   * still runs; see StoreAvailability. An entry that was draining has left. */
-  void Remove(const std::string& aId, TimePoint aKeptUntil, TimePoint aNow);
+   * @param aUsableUntil see StoreAvailability::UsableUntil(). An endpoint that
+   * was draining has left. */
+  void Remove(const std::string& aId, TimePoint aUsableUntil, TimePoint aNow);
 
   /** Drops missing entries that are no longer kept and returns their ids.
-   * @param aKeptUntil the same time as it is known now: another host may have
-   * told since that the store was not away. */
-  std::vector<std::string> Tick(TimePoint aKeptUntil, TimePoint aNow);
+   * @param aExpiriesUntil see StoreAvailability::ExpiriesUntil(). Another host
+   * may have told since the removal that the store was not away. */
+  std::vector<std::string> Tick(TimePoint aExpiriesUntil, TimePoint aNow);
 
   /** Time at which Tick() will drop the next entry, if any is missing. */
   [[nodiscard]] std::optional<TimePoint> NextDue() const;
--- a/core/view/store_availability.cpp
+++ b/core/view/store_availability.cpp
@@ -12,11 +12,13 @@
  * none expires in a shorter time. */
 constexpr milliseconds kMaxInterruption{2500};
 
-/** Entries that expired while the store was away are published again within two
- * seconds of its return. This is a little shorter, so that requests on their
- * way arrive at an endpoint that has left before the two seconds that it goes
- * on serving are over. */
-constexpr milliseconds kExpiryPeriod{1800};
+/** Entries that expired while the store was away are published again within
+ * about two seconds of its return, and known to this host somewhat later. */
+constexpr milliseconds kExpiryPeriod{2800};
+
+/** An endpoint serves on for two seconds after the store has accepted that it
+ * left. This is a little shorter, so that requests on their way arrive. */
+constexpr milliseconds kServesOn{1800};
 
 }  // namespace
 
@@ -44,4 +46,11 @@
   return (mLatest ? mLatest->mFrom : aNow) + kExpiryPeriod;
 }
 
+TimePoint StoreAvailability::UsableUntil(std::optional<TimePoint> aRemovedAfter,
+                                         TimePoint aNow) const {
+  const TimePoint from = mLatest ? mLatest->mFrom : aNow;
+  const TimePoint removedAfter = std::max(aRemovedAfter.value_or(from), from);
+  return std::min<TimePoint>(removedAfter + kServesOn, ExpiriesUntil(aNow));
+}
+
 }  // namespace papayawheel
--- a/core/view/store_availability.h
+++ b/core/view/store_availability.h
@@ -13,10 +13,11 @@
  * The store drops an entry when its endpoint leaves, and also when the endpoint
  * could not renew it for some time. The two look alike. Entries that expired
  * while the store was unavailable are published again soon after its return, so
- * only a removal from that period may concern an endpoint that still runs. The
- * period is counted from the return of the store, not from when a host reads of
- * the removal: a host that reads late, or has just started, must not use an
- * endpoint for longer than the others. */
+ * only a removal from that time may concern an endpoint that still runs. Both
+ * this time and the time for which an endpoint that has left serves on are
+ * counted from what happened in the store, not from when a host reads of it: a
+ * host that reads late, or has just started, must not use an endpoint for
+ * longer than the others. */
 class StoreAvailability {
  public:
   /** A period in which the store was available. */
@@ -41,6 +42,14 @@
    * published itself again. */
   [[nodiscard]] TimePoint ExpiriesUntil(TimePoint aNow) const;
 
+  /** Until when the endpoint of a removed entry may be used: as long as the
+   * entry may have expired, but no longer than an endpoint that has left serves
+   * on. A removal during an interruption, or before it, counts from its end.
+   * @param aRemovedAfter a time before the removal, the closer the better;
+   * empty if unknown. */
+  [[nodiscard]] TimePoint UsableUntil(std::optional<TimePoint> aRemovedAfter,
+                                      TimePoint aNow) const;
+
  private:
   std::uint64_t mEra = 0;
   std::optional<Period> mLatest;
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -17,6 +17,11 @@
  * this interval. */
 constexpr milliseconds kConfirmationInterval{900};
 
+/** The same while removed entries may have expired: the time of a removal is
+ * then known closely. The confirmations in between are not told to others. */
+constexpr milliseconds kCloseWatchTimeout{200};
+constexpr milliseconds kMinTellInterval{800};
+
 /** The timeout of a watch after a failed call, or when the store has not
  * answered this host recently. A lost call blocks the next one for its whole
  * timeout, so a short timeout detects a recovered store sooner. */
@@ -127,17 +132,36 @@
     actions.emplace_back(ReadStore{});
     return actions;
   }
-  const bool mayBeUnreachable = mFailures > 0 || !mAnsweredAt ||
-                                aNow - *mAnsweredAt > kMaxConfirmationAge;
-  milliseconds wait = IsConfirmer() ? kConfirmationInterval : kWatchTimeout;
-  if (mayBeUnreachable || aRole == ReaderRole::None) {
-    wait = kShortWatchTimeout;
-  }
+  const auto wait =
+      std::chrono::duration_cast<milliseconds>(NextWatchWait(aNow));
   mWatchWait = wait;
   actions.emplace_back(WatchStore{mView.AsOf(), wait});
   return actions;
 }
 
+Duration ViewSynchronizer::NextWatchWait(TimePoint aNow) const {
+  const bool mayBeUnreachable = mFailures > 0 || !mAnsweredAt ||
+                                aNow - *mAnsweredAt > kMaxConfirmationAge;
+  if (mayBeUnreachable || mRole == ReaderRole::None) {
+    return kShortWatchTimeout;
+  }
+  if (!IsConfirmer()) {
+    return kWatchTimeout;
+  }
+  return aNow < ExpiriesUntil(aNow) ? kCloseWatchTimeout
+                                    : kConfirmationInterval;
+}
+
+bool ViewSynchronizer::MustTellConfirmation(TimePoint aNow) {
+  const bool isRecent =
+      mToldConfirmationAt && aNow - *mToldConfirmationAt < kMinTellInterval;
+  if (!IsConfirmer() || isRecent) {
+    return false;
+  }
+  mToldConfirmationAt = aNow;
+  return true;
+}
+
 TimePoint ViewSynchronizer::NextDue(TimePoint aNow) const {
   TimePoint call = aNow + kWatchTimeout;
   if (!mStoreCallPending) {
@@ -233,7 +257,8 @@
                                                  TimePoint aNow) {
   const bool wasLoaded = mView.IsLoaded();
   const std::uint64_t before = mView.Era();
-  const bool mayHaveExpired = ExpiriesUntil(aNow) > aNow;
+  mUsableUntil = mAvailability.UsableUntil(mCompleteAt, aNow);
+  const bool mayHaveExpired = mUsableUntil > aNow;
   std::vector<StoreChange> changes = mView.Apply(aDelta, mayHaveExpired);
   mHasUnconfirmedRemovals = mHasUnconfirmedRemovals || mayHaveExpired;
   if (wasLoaded && mView.Era() != before) {
@@ -439,6 +464,7 @@
 }
 
 void ViewSynchronizer::Confirm(TimePoint aAt, std::uint64_t aConfirmation) {
+  mCompleteAt = mCompleteAt ? std::max(*mCompleteAt, aAt) : aAt;
   if (mInvalidatedAt && aAt < *mInvalidatedAt) {
     return;
   }
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -118,21 +118,22 @@
   [[nodiscard]] ViewSummary Summary(TimePoint aNow) const;
   /** Whether this host should not be chosen as a reader. */
   [[nodiscard]] bool IsStoreFailing() const;
-  /** Whether the other hosts rely on the confirmations of this one. */
-  [[nodiscard]] bool IsConfirmer() const {
-    return mRole == ReaderRole::Confirmer;
-  }
+  /** Whether the store's answer that nothing has changed must be told to the
+   * other hosts. They rely on those of one host, and the last one told them is
+   * some time ago. */
+  [[nodiscard]] bool MustTellConfirmation(TimePoint aNow);
   /** Until when removed entries may have expired only because they could not be
    * renewed while the store was away, or may be missing only because it was
    * restored. */
   [[nodiscard]] TimePoint ExpiriesUntil(TimePoint aNow) const {
     return mAvailability.ExpiriesUntil(aNow);
   }
-  /** The same for one removal that was just applied. A removal that a restored
-   * store lost was seen before, and is no expiry. */
-  [[nodiscard]] TimePoint ExpiryUntil(const StoreChange& aRemoval,
+  /** Until when the endpoint of a removal among the changes that were returned
+   * last may be used; see StoreAvailability::UsableUntil(). A removal that a
+   * restored store lost was seen before, and is no expiry. */
+  [[nodiscard]] TimePoint UsableUntil(const StoreChange& aRemoval,
                                       TimePoint aNow) const {
-    return aRemoval.mEra == 0 ? ExpiriesUntil(aNow) : aNow;
+    return aRemoval.mEra == 0 ? mUsableUntil : aNow;
   }
   [[nodiscard]] const StoreAvailability& Availability() const {
     return mAvailability;
@@ -160,6 +161,11 @@
    * call under way that has just arrived. */
   [[nodiscard]] TimePoint CompleteAt(const StoreDelta& aDelta,
                                      TimePoint aNow) const;
+  [[nodiscard]] bool IsConfirmer() const {
+    return mRole == ReaderRole::Confirmer;
+  }
+  /** How long the next watch may wait for a change. */
+  [[nodiscard]] Duration NextWatchWait(TimePoint aNow) const;
   [[nodiscard]] bool NeedsOwnRead(TimePoint aNow) const;
   [[nodiscard]] Duration Jitter(Duration aMax);
   /** Draws the identification of an answer of the store. */
@@ -180,6 +186,13 @@
    * before this host started or was suspended, as that is about the store and
    * not about the view. */
   StoreAvailability mAvailability;
+  /** The latest time at which the view is known to have been complete, also
+   * from before this host started or was suspended. */
+  std::optional<TimePoint> mCompleteAt;
+  /** See UsableUntil(). */
+  TimePoint mUsableUntil;
+  /** When MustTellConfirmation() last returned true. */
+  std::optional<TimePoint> mToldConfirmationAt;
   /** Whether removals were applied that may have been expiries. */
   bool mHasUnconfirmedRemovals = false;
   ReaderRole mRole = ReaderRole::None;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -329,7 +329,7 @@
   // decodes them.
   const bool fromStore = aSource == "watch" || aSource == "read";
   if (aChanges.empty()) {
-    if (fromStore && mSynchronizer.IsConfirmer()) {
+    if (fromStore && mSynchronizer.MustTellConfirmation(mClock.Now())) {
       Send(mGossip.BroadcastConfirmation());
     }
     return;
@@ -405,16 +405,16 @@
                                    const StoreChange& aChange) {
   const TimePoint now = mClock.Now();
   if (!aChange.mValue) {
-    const TimePoint keptUntil = mSynchronizer.ExpiryUntil(aChange, now);
+    const TimePoint usableUntil = mSynchronizer.UsableUntil(aChange, now);
     const auto kept = std::max<TimePoint::duration>(
-        keptUntil - now, TimePoint::duration::zero());
+        usableUntil - now, TimePoint::duration::zero());
     Log(LogLevel::Info, "endpoint_removed",
         {{"endpoint", aId},
          {"revision", aChange.mRevision},
-         {"may_have_lapsed", keptUntil > now},
+         {"may_have_lapsed", usableUntil > now},
          {"kept_us", std::chrono::duration_cast<Duration>(kept).count()},
          {"lost_by_store", aChange.mEra != 0}});
-    mRegistry.Remove(aId, keptUntil, now);
+    mRegistry.Remove(aId, usableUntil, now);
     return;
   }
   const auto decoded = platform::DecodeEndpoint(aId, *aChange.mValue);
--- a/tests/core/test_removed_endpoint.cpp
+++ b/tests/core/test_removed_endpoint.cpp
@@ -192,6 +192,38 @@
   }
 }
 
+// Guards against a host that drops an endpoint which runs, as it starts when
+// the store returns and does not know that the store was away. The entry
+// expires after the return, as it is not renewed in time.
+TEST_CASE("removed endpoint: a host that starts later keeps one that expired") {
+  struct Case {
+    /** Times after the start of the host. */
+    int mExpiresAtMs;
+    int mUsedUntilMs;
+  };
+  const std::vector<Case> cases = {
+      {300, 1700}, {600, 2200}, {900, 2400}, {1200, 2600}};
+  for (const Case& one : cases) {
+    for (std::uint32_t seed = 1; seed < 6; ++seed) {
+      CAPTURE(one.mExpiresAtMs);
+      CAPTURE(seed);
+      GossipFleet fleet = MakeFleet(1, seed);
+      fleet.Kill(0);
+      fleet.Run(seconds(5));
+      fleet.Restart(0);
+      fleet.Run(milliseconds(one.mExpiresAtMs));
+      fleet.Remove(kKey);
+      for (int at = one.mExpiresAtMs; at < one.mUsedUntilMs; at += 20) {
+        REQUIRE(fleet.Uses(0, kKey));
+        fleet.Run(milliseconds(20));
+      }
+      fleet.Write(kKey, "2");
+      fleet.Run(milliseconds(500));
+      CHECK(fleet.Uses(0, kKey));
+    }
+  }
+}
+
 // Guards against an endpoint that has left and is used again, when the store
 // comes back from a copy that still lists it and the hosts took its removal for
 // an expiry.
