--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -298,7 +298,7 @@
     return {};
   }
   // Before the changes are applied, as they are judged by it.
-  NoteAvailability(*aTransfer);
+  NoteAvailability(*aTransfer, aNow);
   const StoreDelta& delta = aTransfer->mDelta;
   std::vector<StoreChange> changes = Apply(delta, aNow);
   if (delta.mEra == mView.Era()) {
@@ -315,10 +315,13 @@
   return changes;
 }
 
-void ViewSynchronizer::NoteAvailability(const ViewTransfer& aTransfer) {
+void ViewSynchronizer::NoteAvailability(const ViewTransfer& aTransfer,
+                                        TimePoint aNow) {
   const std::uint64_t era = aTransfer.mDelta.mEra;
   if (aTransfer.mAvailable) {
-    mAvailability.NoteAvailable(era, {mPullAt - aTransfer.mAvailable->mFrom,
+    // The ages are those of a moment between the start of the pull and now. A
+    // beginning that is dated too early would go back with each further pull.
+    mAvailability.NoteAvailable(era, {aNow - aTransfer.mAvailable->mFrom,
                                       mPullAt - aTransfer.mAvailable->mUntil});
   } else if (aTransfer.mAge) {
     const TimePoint answeredAt = mPullAt - *aTransfer.mAge;
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -142,7 +142,7 @@
 
  private:
   /** Records the period that another host sent with its view. */
-  void NoteAvailability(const ViewTransfer& aTransfer);
+  void NoteAvailability(const ViewTransfer& aTransfer, TimePoint aNow);
   /** Applies a delta and notes whether it began a new era. */
   std::vector<StoreChange> Apply(const StoreDelta& aDelta, TimePoint aNow);
   /** Whether another host's lost changes differ from those here and have not
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -25,6 +25,10 @@
  * kMaxIterationInterval and this. */
 constexpr milliseconds kMaxLateness{200};
 
+/** The beginning of the store's period is logged again if it has shifted by
+ * this or more. Other hosts' ages differ a little by their way here. */
+constexpr milliseconds kMinLoggedShift{100};
+
 std::uint64_t NewIncarnation(const Clock& aClock) {
   // Unique for each start: a host does not restart within one millisecond.
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
@@ -373,7 +377,11 @@
 
 void GatewayControl::NoteAvailability() {
   const auto& available = mSynchronizer.Availability().Latest();
-  if (!available || available->mFrom == mLoggedAvailableFrom) {
+  const bool isKnown =
+      available && mLoggedAvailableFrom &&
+      available->mFrom - *mLoggedAvailableFrom < kMinLoggedShift &&
+      *mLoggedAvailableFrom - available->mFrom < kMinLoggedShift;
+  if (!available || isKnown) {
     return;
   }
   mLoggedAvailableFrom = available->mFrom;
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -100,6 +100,30 @@
   CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
 }
 
+// Guards against a period of the store that begins earlier with each host that
+// it is passed on to, by the time of each pull.
+TEST_CASE("view synchronizer: a period that is passed on keeps its beginning") {
+  ViewSynchronizer one = MakeReader(kStart);
+  ViewSynchronizer other = MakeReader(kStart - milliseconds(100), 2);
+  TimePoint now = kStart + seconds(1);
+  for (std::uint64_t revision = 6; revision < 30; ++revision) {
+    ViewSynchronizer& source = revision % 2 == 0 ? one : other;
+    ViewSynchronizer& target = revision % 2 == 0 ? other : one;
+    source.StoreAnswered(StoreDelta{false, revision, {{"key", revision, "x"}}},
+                         now);
+    REQUIRE_FALSE(
+        target.NotePeerSummary("peer", source.Summary(now), now).empty());
+    now += milliseconds(50);
+    const auto transfer = source.ServePull(0, revision - 1, now);
+    now += milliseconds(50);
+    target.FinishPull(transfer, now);
+  }
+  const TimePoint begin = kStart - milliseconds(100);
+  CHECK(one.Availability().Latest()->mFrom >= begin);
+  CHECK(other.Availability().Latest()->mFrom == begin);
+  CHECK(one.Availability().Latest()->mFrom < begin + milliseconds(100));
+}
+
 // Guards against a removed endpoint that stays in use: a host that has just
 // started does not know of the removed key, so the newest revision of its keys
 // is that of a host that still has the key.
