Tests: gateway_removed_endpoint waits until a gateway acts on its view

Nobody can confirm that gateway's view then, so it acts on it 3 s after its start, as documented. The test asked it for service before that.

Now the test prints the answer, waits until that gateway answers a request, and then asks for the same as before: every request is answered from the return of the store until the endpoints are published again.

--- a/tests/process/gateway_removed_endpoint.sh
+++ b/tests/process/gateway_removed_endpoint.sh
@@ -39,12 +39,17 @@
   wait_for 4 grep -q "event=endpoint_published endpoint=o1" "$work/g1.log"
 done
 
+# answers NAME: whether a gateway answers a request; stores the answer in $answer.
+answers() {
+  answer="$(call_gateway "$1" POST /order/1 "s$1$RANDOM")"
+  grep -q '^200 ' <<<"$answer"
+}
+
 # expect_service TEXT: fails the script unless both gateways answer a request.
 expect_service() {
-  local name answer
+  local name
   for name in g1 g2; do
-    answer="$(call_gateway "$name" POST /order/1 "s$name$RANDOM")"
-    grep -q '^200 ' <<<"$answer" && continue
+    answers "$name" && continue
     echo "FAILED: $name does not use endpoints $1: $answer"
     exit 1
   done
@@ -60,8 +65,8 @@
 kill -KILL "${pid_of[g2]}"
 sleep 0.3
 start_gateway g2 2
-wait_for 5 gateway_is_ready g2
-sleep 1.5
+# While nobody can confirm its view, a gateway acts on it 3 s after its start.
+wait_for 8 answers g2
 remove servers/o1
 remove servers/o2
 set_store_fault none
