View: name what the confirmer tells the others, and what ends when

Names only, for a reader who is new to it: the time that a watch may wait while entries may have expired (kExpiryWatchTimeout), and when a confirmation is broadcast (ShouldBroadcastConfirmation). No behaviour changes.

--- a/core/view/store_view.h
+++ b/core/view/store_view.h
@@ -65,7 +65,7 @@
   /** A number that is equal for equal sets of lost changes; 0 for none. */
   [[nodiscard]] std::uint64_t LostDigest() const { return mLostDigest; }
   /** The time to publish expired entries again is over: those that are still
-   * removed have been removed by their writers, or for them. */
+   * removed are gone. */
   void ConfirmRemovals();
 
   /** Lets the store's items replace the removals that it has lost, also those
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -17,10 +17,11 @@
  * this interval. */
 constexpr milliseconds kConfirmationInterval{900};
 
-/** The same while removed entries may have expired: the time of a removal is
- * then known closely. The confirmations in between are not told to others. */
-constexpr milliseconds kCloseWatchTimeout{200};
-constexpr milliseconds kMinTellInterval{800};
+/** The same while removed entries may have expired, so that the time of a
+ * removal is known closely. Other hosts are told of a confirmation only if the
+ * last one that they were told is kMinBroadcastInterval ago. */
+constexpr milliseconds kExpiryWatchTimeout{200};
+constexpr milliseconds kMinBroadcastInterval{800};
 
 /** The timeout of a watch after a failed call, or when the store has not
  * answered this host recently. A lost call blocks the next one for its whole
@@ -148,17 +149,18 @@
   if (!IsConfirmer()) {
     return kWatchTimeout;
   }
-  return aNow < ExpiriesUntil(aNow) ? kCloseWatchTimeout
+  return aNow < ExpiriesUntil(aNow) ? kExpiryWatchTimeout
                                     : kConfirmationInterval;
 }
 
-bool ViewSynchronizer::MustTellConfirmation(TimePoint aNow) {
+bool ViewSynchronizer::ShouldBroadcastConfirmation(TimePoint aNow) {
   const bool isRecent =
-      mToldConfirmationAt && aNow - *mToldConfirmationAt < kMinTellInterval;
+      mConfirmationBroadcastAt &&
+      aNow - *mConfirmationBroadcastAt < kMinBroadcastInterval;
   if (!IsConfirmer() || isRecent) {
     return false;
   }
-  mToldConfirmationAt = aNow;
+  mConfirmationBroadcastAt = aNow;
   return true;
 }
 
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -118,10 +118,10 @@
   [[nodiscard]] ViewSummary Summary(TimePoint aNow) const;
   /** Whether this host should not be chosen as a reader. */
   [[nodiscard]] bool IsStoreFailing() const;
-  /** Whether the store's answer that nothing has changed must be told to the
-   * other hosts. They rely on those of one host, and the last one told them is
-   * some time ago. */
-  [[nodiscard]] bool MustTellConfirmation(TimePoint aNow);
+  /** Whether to tell the other hosts that the store has just answered that
+   * nothing has changed. Only the confirmer does, and not after each answer:
+   * the time of a call that returns true is noted. */
+  [[nodiscard]] bool ShouldBroadcastConfirmation(TimePoint aNow);
   /** Until when removed entries may have expired only because they could not be
    * renewed while the store was away, or may be missing only because it was
    * restored. */
@@ -191,8 +191,8 @@
   std::optional<TimePoint> mCompleteAt;
   /** See UsableUntil(). */
   TimePoint mUsableUntil;
-  /** When MustTellConfirmation() last returned true. */
-  std::optional<TimePoint> mToldConfirmationAt;
+  /** When ShouldBroadcastConfirmation() last returned true. */
+  std::optional<TimePoint> mConfirmationBroadcastAt;
   /** Whether removals were applied that may have been expiries. */
   bool mHasUnconfirmedRemovals = false;
   ReaderRole mRole = ReaderRole::None;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -333,7 +333,7 @@
   // decodes them.
   const bool fromStore = aSource == "watch" || aSource == "read";
   if (aChanges.empty()) {
-    if (fromStore && mSynchronizer.MustTellConfirmation(mClock.Now())) {
+    if (fromStore && mSynchronizer.ShouldBroadcastConfirmation(mClock.Now())) {
       Send(mGossip.BroadcastConfirmation());
     }
     return;
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -413,7 +413,7 @@
   const bool hasChanged = !aChanges.empty();
   ApplyEndpoints(aHost, aChanges);
   if (!hasChanged && aFromStore) {
-    if (host.mSynchronizer->MustTellConfirmation(mEvents.Now())) {
+    if (host.mSynchronizer->ShouldBroadcastConfirmation(mEvents.Now())) {
       Send(aHost, host.mGossip->BroadcastConfirmation());
     }
   } else if (hasChanged && aFromStore) {
