--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -25,6 +25,23 @@
 /** Bytes of a transfer between hosts in addition to its changes. */
 constexpr std::size_t kBytesPerTransfer = 300;
 
+/** Bytes of a datagram without records, and of one record. */
+constexpr std::size_t kBytesPerDatagram = 120;
+constexpr std::size_t kBytesPerRecord = 130;
+
+/** Datagrams that a socket holds; further ones are lost. */
+constexpr std::size_t kSocketDatagrams = 256;
+
+// Costs in time of a whole core.
+constexpr std::chrono::microseconds kReceiveCost{40};
+constexpr std::chrono::microseconds kSendCost{20};
+constexpr std::chrono::microseconds kIterationCost{20};
+constexpr std::chrono::microseconds kCallCost{250};
+constexpr std::chrono::microseconds kServeCost{200};
+constexpr std::chrono::microseconds kUpdateCost{300};
+/** Of selecting the hosts for callers, for each host of the fleet. */
+constexpr std::chrono::microseconds kMemberCost{4};
+
 /** Values that are numbers are ordered by them. */
 std::optional<WriteOrder> ReadOrder(const std::string& /*aKey*/,
                                     const std::string& aValue) {
@@ -84,8 +101,94 @@
   host.mAlive = true;
   host.mSuspended = false;
   host.mCallsStore = false;
+  host.mPull = 0;
+  host.mTasks.clear();
+  host.mSocket.clear();
+  host.mReadersChosenFor.reset();
   ++host.mEpoch;
-  RunIteration(aHost);
+  Queue(aHost, [this, aHost] { RunIteration(aHost); });
+}
+
+void GossipFleet::SetResources(
+    const std::function<HostResources(std::size_t)>& aResourcesOf) {
+  for (std::size_t host = 0; host < mHosts.size(); ++host) {
+    mHosts[host].mResources = aResourcesOf(host);
+  }
+}
+
+void GossipFleet::Queue(std::size_t aHost, std::function<void()> aEvent) {
+  Host& host = mHosts[aHost];
+  if (host.mResources.mCores == 0) {
+    aEvent();
+    return;
+  }
+  host.mTasks.push_back(
+      [this, aHost, epoch = host.mEpoch, event = std::move(aEvent)] {
+        if (IsUp(aHost, epoch)) {
+          event();
+        }
+      });
+  Work(aHost);
+}
+
+void GossipFleet::Work(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  if (host.mIsBusy || (host.mTasks.empty() && host.mSocket.empty())) {
+    return;
+  }
+  host.mIsBusy = true;
+  host.mSpent = Duration::zero();
+  // As an event loop does, one datagram is handled after each other event.
+  const bool takesDatagram =
+      host.mTasks.empty() || (host.mIsSocketNext && !host.mSocket.empty());
+  host.mIsSocketNext = !takesDatagram;
+  if (takesDatagram) {
+    const GossipMessage text = std::move(host.mSocket.front());
+    host.mSocket.pop_front();
+    Spend(aHost, kReceiveCost);
+    HandleMessage(aHost, text);
+  } else {
+    const auto task = std::move(host.mTasks.front());
+    host.mTasks.pop_front();
+    task();
+  }
+  mEvents.After(host.mSpent, [this, aHost] {
+    mHosts[aHost].mIsBusy = false;
+    mHosts[aHost].mSpent = Duration::zero();
+    Work(aHost);
+  });
+}
+
+void GossipFleet::Spend(std::size_t aHost, Duration aCoreTime) {
+  Host& host = mHosts[aHost];
+  if (host.mResources.mCores > 0) {
+    host.mSpent += std::chrono::duration_cast<Duration>(aCoreTime /
+                                                        host.mResources.mCores);
+  }
+}
+
+TimePoint GossipFleet::Transmit(std::size_t aHost, std::size_t aBytes) {
+  Host& host = mHosts[aHost];
+  const double rate =
+      std::min(mBytesPerSecond, host.mResources.mBytesPerSecond);
+  const std::chrono::duration<double> sending(static_cast<double>(aBytes) /
+                                              rate);
+  host.mLinkBusyUntil =
+      std::max<TimePoint>(host.mLinkBusyUntil, mEvents.Now() + host.mSpent) +
+      std::chrono::duration_cast<Duration>(sending);
+  return host.mLinkBusyUntil;
+}
+
+const std::vector<std::string>& GossipFleet::ReadersKnownTo(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  const std::pair known(host.mGossip->Generation(),
+                        host.mGossip->Self().mVersion);
+  if (host.mReadersChosenFor != known) {
+    host.mReadersChosenFor = known;
+    host.mReaders =
+        ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable());
+  }
+  return host.mReaders;
 }
 
 void GossipFleet::Run(Duration aTime) {
@@ -113,7 +216,7 @@
   });
   mContent.push_back(StoreChange{aKey, mRevision, std::move(aValue)});
   for (const PendingRead& one : std::exchange(mPendingReads, {})) {
-    if (mStoreDown || mHosts[one.mHost].mCutFromStore) {
+    if (mStoreDown || mHosts[one.mHost].mStoreFault != StoreFault::None) {
       // The answer is lost, so the host waits for its time-out.
       continue;
     }
@@ -177,6 +280,7 @@
 
 void GossipFleet::Kill(std::size_t aHost) {
   mHosts[aHost].mAlive = false;
+  mHosts[aHost].mSocket.clear();
   ++mHosts[aHost].mEpoch;
 }
 
@@ -189,10 +293,10 @@
   if (!aSuspended) {
     host.mCallsStore = false;
     host.mSynchronizer->Invalidate(mEvents.Now());
-    Send(aHost,
-         host.mGossip->ResumeAfterSuspension(
-             ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()),
-             mEvents.Now()));
+    host.mPull = 0;
+    host.mTasks.clear();
+    Send(aHost, host.mGossip->ResumeAfterSuspension(ReadersKnownTo(aHost),
+                                                    mEvents.Now()));
     RunIteration(aHost);
   }
 }
@@ -208,7 +312,24 @@
 }
 
 void GossipFleet::CutFromStore(std::size_t aHost, bool aCut) {
-  mHosts[aHost].mCutFromStore = aCut;
+  TurnAway(aHost, aCut ? StoreFault::Silent : StoreFault::None);
+}
+
+void GossipFleet::TurnAway(std::size_t aHost, StoreFault aFault) {
+  mHosts[aHost].mStoreFault = aFault;
+  if (aFault != StoreFault::Resets) {
+    return;
+  }
+  const auto isOfHost = [aHost](const PendingRead& aOne) {
+    return aOne.mHost == aHost;
+  };
+  for (const PendingRead& one : mPendingReads) {
+    if (isOfHost(one)) {
+      mEvents.After(kHostDelay,
+                    [this, one] { StoreFailed(one, StoreFailure::NoAnswer); });
+    }
+  }
+  std::erase_if(mPendingReads, isOfHost);
 }
 
 void GossipFleet::SetStoreDown(bool aDown) { mStoreDown = aDown; }
@@ -230,14 +351,14 @@
 void GossipFleet::RunIteration(std::size_t aHost) {
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
+  Spend(aHost, kIterationCost);
   host.mGossip->SetStoreFailing(host.mSynchronizer->IsStoreFailing());
   Send(aHost, host.mGossip->Tick(now));
-  const ReaderRole role =
-      RoleOf(host.mGossip->Self(),
-             ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable()));
+  const ReaderRole role = RoleOf(host.mGossip->Self(), ReadersKnownTo(aHost));
   Act(aHost, host.mSynchronizer->Tick(role, now));
   ApplyEndpoints(aHost, host.mSynchronizer->ExpireLostRemovals(now));
   host.mRegistry.Tick(host.mSynchronizer->ExpiriesUntil(now), now);
+  PublishMembers(aHost);
   Schedule(aHost);
 }
 
@@ -251,7 +372,7 @@
   host.mNextIterationAt = due;
   mEvents.At(due, [this, aHost, due, epoch = host.mEpoch] {
     if (IsUp(aHost, epoch) && mHosts[aHost].mNextIterationAt == due) {
-      RunIteration(aHost);
+      Queue(aHost, [this, aHost] { RunIteration(aHost); });
     }
   });
 }
@@ -260,10 +381,15 @@
                        const papayawheel::Datagrams& aDatagrams) {
   for (const Datagram& datagram : aDatagrams) {
     ++mDatagrams;
+    Spend(aFrom, kSendCost);
+    const GossipMessage& text = datagram.mMessage;
+    const std::size_t records =
+        text.mRecords.size() + (text.mSender.IsBrief() ? 0 : 1);
+    const TimePoint sent =
+        Transmit(aFrom, kBytesPerDatagram + kBytesPerRecord * records);
     const std::size_t to = IndexOf(datagram.mAddress);
-    mEvents.After(kHostDelay, [this, aFrom, to, text = datagram.mMessage] {
-      Deliver(aFrom, to, text);
-    });
+    mEvents.At(sent + kHostDelay,
+               [this, aFrom, to, text] { Deliver(aFrom, to, text); });
   }
 }
 
@@ -273,15 +399,57 @@
   if (!IsConnected(aFrom, aTo)) {
     return;
   }
+  ++host.mReceived;
+  if (host.mResources.mCores == 0) {
+    HandleMessage(aTo, aText);
+    return;
+  }
+  if (host.mSocket.size() < kSocketDatagrams) {
+    host.mSocket.push_back(aText);
+    Work(aTo);
+  }
+}
+
+void GossipFleet::HandleMessage(std::size_t aHost, const GossipMessage& aText) {
+  Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
-  Send(aTo, host.mGossip->MessageArrived(aText, now));
+  Send(aHost, host.mGossip->MessageArrived(aText, now));
   if (const auto sender = host.mGossip->Find(aText.mSender.mName)) {
-    Act(aTo, host.mSynchronizer->NotePeerSummary(sender->mControlAddress,
-                                                 aText.mView, now));
+    Act(aHost, host.mSynchronizer->NotePeerSummary(sender->mControlAddress,
+                                                   aText.mView, now));
   }
   if (aText.mPassViewOn) {
-    Send(aTo, host.mGossip->PassViewOn());
+    Send(aHost, host.mGossip->PassViewOn());
+  }
+  PublishMembers(aHost);
+}
+
+void GossipFleet::PublishMembers(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  const std::pair current(host.mGossip->Generation(),
+                          host.mGossip->LoadGeneration());
+  if (host.mPublishedMembers == current) {
+    return;
+  }
+  host.mPublishedMembers = current;
+  Spend(aHost, kMemberCost * host.mGossip->MemberCount());
+}
+
+void GossipFleet::SetLoad(std::size_t aHost, const HostLoad& aLoad) {
+  if (!IsUp(aHost, mHosts[aHost].mEpoch)) {
+    return;
+  }
+  Queue(aHost, [this, aHost, aLoad] {
+    Send(aHost, mHosts[aHost].mGossip->SetLoad(aLoad, mEvents.Now()));
+  });
+}
+
+std::uint64_t GossipFleet::MaxReceived() const {
+  std::uint64_t most = 0;
+  for (const Host& host : mHosts) {
+    most = std::max(most, host.mReceived);
   }
+  return most;
 }
 
 void GossipFleet::Act(std::size_t aHost, const ViewActions& aActions) {
@@ -289,10 +457,8 @@
     if (const auto* const pull = std::get_if<PullView>(&action)) {
       Pull(aHost, *pull);
     } else if (std::holds_alternative<AskReaders>(action)) {
-      GossipEngine& gossip = *mHosts[aHost].mGossip;
-      Send(aHost,
-           gossip.PingMembers(ChooseReaders(gossip.Self(), gossip.Reachable()),
-                              mEvents.Now()));
+      Send(aHost, mHosts[aHost].mGossip->PingMembers(ReadersKnownTo(aHost),
+                                                     mEvents.Now()));
     } else {
       CallStore(aHost, action);
     }
@@ -301,16 +467,18 @@
 
 void GossipFleet::CallStore(std::size_t aHost, const ViewAction& aAction) {
   ++mStoreCalls;
+  Spend(aHost, kCallCost);
   Host& host = mHosts[aHost];
   host.mCallsStore = true;
   const std::uint64_t epoch = host.mEpoch;
   const auto* const watch = std::get_if<WatchStore>(&aAction);
-  const bool reaches = !mStoreDown && !host.mCutFromStore;
-  if (!reaches) {
-    // The call is lost, so its sender waits for the time-out.
-    const Duration timeout = watch == nullptr
-                                 ? Duration(kStoreTimeout)
-                                 : Duration(watch->mWait + kWatchSlack);
+  if (mStoreDown || host.mStoreFault != StoreFault::None) {
+    const bool isSilent = mStoreDown || host.mStoreFault == StoreFault::Silent;
+    // If the call is lost, its sender waits for the time-out.
+    const Duration lostAfter = watch == nullptr
+                                   ? Duration(kStoreTimeout)
+                                   : Duration(watch->mWait + kWatchSlack);
+    const Duration timeout = isSilent ? lostAfter : mStoreDelay;
     const PendingRead lost{aHost, epoch, 0, 0};
     mEvents.After(timeout,
                   [this, lost] { StoreFailed(lost, StoreFailure::NoAnswer); });
@@ -359,7 +527,7 @@
   if (!IsUp(aRead.mHost, aRead.mEpoch)) {
     return;
   }
-  if (mStoreDown || host.mCutFromStore) {
+  if (mStoreDown || host.mStoreFault != StoreFault::None) {
     // The answer is lost, so the host times out a little later.
     mEvents.After(kWatchSlack, [this, aRead] {
       StoreFailed(aRead, StoreFailure::NoAnswer);
@@ -367,19 +535,22 @@
     return;
   }
   host.mCallsStore = false;
-  const auto changes = host.mSynchronizer->StoreAnswered(
-      StoreSince(aRead.mAfter), mEvents.Now());
-  ViewUpdated(aRead.mHost, changes, true);
+  Queue(aRead.mHost, [this, aRead, delta = StoreSince(aRead.mAfter)] {
+    const auto changes =
+        mHosts[aRead.mHost].mSynchronizer->StoreAnswered(delta, mEvents.Now());
+    ViewUpdated(aRead.mHost, changes, true);
+  });
 }
 
 void GossipFleet::StoreFailed(const PendingRead& aRead, StoreFailure aFailure) {
   if (!IsUp(aRead.mHost, aRead.mEpoch)) {
     return;
   }
-  Host& host = mHosts[aRead.mHost];
-  host.mCallsStore = false;
-  host.mSynchronizer->StoreFailed(aFailure, mEvents.Now());
-  RunIteration(aRead.mHost);
+  mHosts[aRead.mHost].mCallsStore = false;
+  Queue(aRead.mHost, [this, aRead, aFailure] {
+    mHosts[aRead.mHost].mSynchronizer->StoreFailed(aFailure, mEvents.Now());
+    RunIteration(aRead.mHost);
+  });
 }
 
 void GossipFleet::ApplyEndpoints(std::size_t aHost,
@@ -411,6 +582,9 @@
                               bool aFromStore) {
   Host& host = mHosts[aHost];
   const bool hasChanged = !aChanges.empty();
+  if (hasChanged) {
+    Spend(aHost, kUpdateCost);
+  }
   ApplyEndpoints(aHost, aChanges);
   if (!hasChanged && aFromStore) {
     if (host.mSynchronizer->ShouldBroadcastConfirmation(mEvents.Now())) {
@@ -425,53 +599,50 @@
 }
 
 void GossipFleet::Pull(std::size_t aHost, const PullView& aPull) {
+  Spend(aHost, kCallCost);
+  const std::uint64_t number = ++mLastPull;
+  mHosts[aHost].mPull = number;
+  mEvents.After(mHosts[aHost].mSpent + kPullTimeout,
+                [this, aHost, number] { EndPull(aHost, number, {}); });
   const std::size_t peer = IndexOf(aPull.mAddress);
-  const std::uint64_t epoch = mHosts[aHost].mEpoch;
-  if (!IsConnected(aHost, peer)) {
-    mEvents.After(kPullTimeout,
-                  [this, aHost, epoch] { PullFailed(aHost, epoch); });
-    return;
-  }
-  const TimePoint now = mEvents.Now();
-  ViewSynchronizer& source = *mHosts[peer].mSynchronizer;
-  const auto offered = source.ServePull(aPull.mEra, aPull.mAfter, now);
-  if (!offered) {
-    mEvents.After(2 * kHostDelay,
-                  [this, aHost, epoch] { PullFailed(aHost, epoch); });
-    return;
+  if (IsConnected(aHost, peer)) {
+    mEvents.After(mHosts[aHost].mSpent, [this, peer, aHost, number, aPull] {
+      Queue(peer, [this, peer, aHost, number, aPull] {
+        ServePull(peer, aHost, number, aPull);
+      });
+    });
   }
+}
+
+void GossipFleet::ServePull(std::size_t aPeer, std::size_t aHost,
+                            std::uint64_t aPull, const PullView& aRequest) {
+  Spend(aPeer, kServeCost);
+  const auto offered = mHosts[aPeer].mSynchronizer->ServePull(
+      aRequest.mEra, aRequest.mAfter, mEvents.Now());
   // The answers of one host are sent one after the other over its link.
-  TimePoint& busyUntil = mHosts[peer].mLinkBusyUntil;
-  const std::chrono::duration<double> sending(
-      static_cast<double>(kBytesPerTransfer + TransferSize(offered->mDelta)) /
-      mBytesPerSecond);
-  busyUntil = std::max<TimePoint>(busyUntil, now) +
-              std::chrono::duration_cast<Duration>(sending);
-  const TimePoint arrives = busyUntil + 2 * kHostDelay;
-  if (arrives - now > kPullTimeout) {
-    mEvents.After(kPullTimeout,
-                  [this, aHost, epoch] { PullFailed(aHost, epoch); });
+  const std::size_t bytes =
+      kBytesPerTransfer + (offered ? TransferSize(offered->mDelta) : 0);
+  mEvents.At(Transmit(aPeer, bytes) + 2 * kHostDelay,
+             [this, aHost, aPull, offered] { EndPull(aHost, aPull, offered); });
+}
+
+void GossipFleet::EndPull(std::size_t aHost, std::uint64_t aPull,
+                          const std::optional<ViewTransfer>& aTransfer) {
+  Host& host = mHosts[aHost];
+  if (host.mPull != aPull || !IsUp(aHost, host.mEpoch)) {
     return;
   }
-  mEvents.At(arrives, [this, aHost, epoch, transfer = *offered] {
-    if (IsUp(aHost, epoch)) {
-      const auto changes =
-          mHosts[aHost].mSynchronizer->FinishPull(transfer, mEvents.Now());
-      Act(aHost,
-          mHosts[aHost].mSynchronizer->PullFromNextSource(mEvents.Now()));
+  host.mPull = 0;
+  Queue(aHost, [this, aHost, aTransfer] {
+    ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
+    const auto changes = synchronizer.FinishPull(aTransfer, mEvents.Now());
+    Act(aHost, synchronizer.PullFromNextSource(mEvents.Now()));
+    if (aTransfer) {
       ViewUpdated(aHost, changes, false);
     }
   });
 }
 
-void GossipFleet::PullFailed(std::size_t aHost, std::uint64_t aEpoch) {
-  if (IsUp(aHost, aEpoch)) {
-    ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
-    synchronizer.FinishPull(std::nullopt, mEvents.Now());
-    Act(aHost, synchronizer.PullFromNextSource(mEvents.Now()));
-  }
-}
-
 bool GossipFleet::Knows(std::size_t aHost, std::uint64_t aRevision) const {
   return mHosts[aHost].mAlive &&
          mHosts[aHost].mSynchronizer->View().Newest() >= aRevision;
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -15,6 +16,25 @@
 
 namespace papayawheel {
 
+/** How the store turns a host away. */
+enum class StoreFault {
+  None,
+  /** Calls get no answer. */
+  Silent,
+  /** Calls are refused at once. A watch that waits gets no answer. */
+  Refuses,
+  /** Calls fail at once, and a watch that waits does so, too. */
+  Resets,
+};
+
+/** What a host can use for control. */
+struct HostResources {
+  /** Share of a core; 0 if processing takes no time. */
+  double mCores = 0;
+  /** Rate of its link. */
+  double mBytesPerSecond = 1e9;
+};
+
 /** Simulates the platform's store and the gossip and view synchronisation of
  * many hosts on virtual time, with faults between them. */
 class GossipFleet {
@@ -22,6 +42,11 @@
   GossipFleet(std::size_t aHosts, std::size_t aDataCentres,
               std::uint32_t aSeed);
 
+  /** Sets what each host can use. A host with a limited processor handles one
+   * event at a time; datagrams wait in its socket, which holds a limited
+   * number. */
+  void SetResources(
+      const std::function<HostResources(std::size_t)>& aResourcesOf);
   void Run(Duration aTime);
   /** Writes a key of the store and returns the revision of the change.
    * @param aBytes size of the value that is written. */
@@ -46,6 +71,8 @@
   /** Sets the bytes per second that one host can send to others; further
    * answers wait. */
   void SetBytesPerSecond(double aBytes) { mBytesPerSecond = aBytes; }
+  /** Sets the load that a host reports to the others. */
+  void SetLoad(std::size_t aHost, const HostLoad& aLoad);
   void Kill(std::size_t aHost);
   void Restart(std::size_t aHost);
   void Suspend(std::size_t aHost, bool aSuspended);
@@ -54,6 +81,8 @@
   /** Cuts one data centre off from the others, or ends that. */
   void PartitionDataCentre(std::size_t aDataCentre, bool aPartitioned);
   void CutFromStore(std::size_t aHost, bool aCut);
+  /** The store turns a host away from now on, or serves it again. */
+  void TurnAway(std::size_t aHost, StoreFault aFault);
   /** Cuts all hosts off from the store. Pending watches get no answer. */
   void SetStoreDown(bool aDown);
 
@@ -72,6 +101,8 @@
   [[nodiscard]] std::vector<std::size_t> Readers() const;
   [[nodiscard]] std::uint64_t StoreCalls() const { return mStoreCalls; }
   [[nodiscard]] std::uint64_t Datagrams() const { return mDatagrams; }
+  /** The most datagrams that one host has been sent. */
+  [[nodiscard]] std::uint64_t MaxReceived() const;
   /** Runs until all hosts, except some, know a revision. Returns the time that
    * took, or nothing if it took longer than the limit. */
   std::optional<Duration> TimeUntilKnown(
@@ -90,7 +121,8 @@
     bool mAlive = false;
     bool mSuspended = false;
     bool mCutFromHosts = false;
-    bool mCutFromStore = false;
+    StoreFault mStoreFault = StoreFault::None;
+    HostResources mResources;
     /** Increases with each start, kill, suspension and resumption, so that
      * earlier events are ignored. */
     std::uint64_t mEpoch = 0;
@@ -100,6 +132,23 @@
     TimePoint mNextIterationAt;
     /** When the last answer of the host will have left its link. */
     TimePoint mLinkBusyUntil;
+    /** Number of its latest pull; 0 if none is under way. */
+    std::uint64_t mPull = 0;
+    /** Events that wait for the processor. */
+    std::deque<std::function<void()>> mTasks;
+    std::deque<GossipMessage> mSocket;
+    /** Whether the processor is busy, and whether the socket is next. */
+    bool mIsBusy = false;
+    bool mIsSocketNext = false;
+    /** Time that the present event has taken so far. */
+    Duration mSpent{0};
+    std::uint64_t mReceived = 0;
+    /** The readers that it knows, and the generation of its member list and its
+     * own version from which they were chosen. */
+    std::vector<std::string> mReaders;
+    std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersChosenFor;
+    /** Generations of the members and of their loads that were passed on. */
+    std::pair<std::uint64_t, std::uint64_t> mPublishedMembers;
   };
   /** A read or watch of the store that is not answered yet. */
   struct PendingRead {
@@ -125,10 +174,27 @@
   void Schedule(std::size_t aHost);
   void Send(std::size_t aFrom, const papayawheel::Datagrams& aDatagrams);
   void Deliver(std::size_t aFrom, std::size_t aTo, const GossipMessage& aText);
+  void HandleMessage(std::size_t aHost, const GossipMessage& aText);
+  /** Runs an event of a host, or queues it while the processor is busy. It is
+   * dropped if the host is stopped before. */
+  void Queue(std::size_t aHost, std::function<void()> aEvent);
+  /** Handles the next event or datagram of a host with a limited processor. */
+  void Work(std::size_t aHost);
+  /** Adds a cost, given in time of a whole core, to the present event. */
+  void Spend(std::size_t aHost, Duration aCoreTime);
+  /** The time at which some bytes that a host sends now have left its link. */
+  TimePoint Transmit(std::size_t aHost, std::size_t aBytes);
+  const std::vector<std::string>& ReadersKnownTo(std::size_t aHost);
+  /** Passes changed members and loads on within the host, where hosts for
+   * callers are selected by them. */
+  void PublishMembers(std::size_t aHost);
   void Act(std::size_t aHost, const ViewActions& aActions);
   void CallStore(std::size_t aHost, const ViewAction& aAction);
   void Pull(std::size_t aHost, const PullView& aPull);
-  void PullFailed(std::size_t aHost, std::uint64_t aEpoch);
+  void ServePull(std::size_t aPeer, std::size_t aHost, std::uint64_t aPull,
+                 const PullView& aRequest);
+  void EndPull(std::size_t aHost, std::uint64_t aPull,
+               const std::optional<ViewTransfer>& aTransfer);
   void AnswerWatch(const PendingRead& aRead);
   void EndWatch(const PendingRead& aRead);
   void ApplyEndpoints(std::size_t aHost,
@@ -154,6 +220,7 @@
   std::vector<PendingRead> mPendingReads;
   std::uint64_t mRevision = 1;
   std::uint64_t mLastWatch = 0;
+  std::uint64_t mLastPull = 0;
   bool mStoreDown = false;
   std::optional<std::size_t> mPartitionedDataCentre;
   std::uint64_t mStoreCalls = 0;
