CONFIG: what a host spends on the member list no longer grows with the fleet

Callers got answers by a configuration that was up to three seconds old from some hosts of large fleets.

Cause of the hosts' being late: each datagram that changed any host's load made the host select the hosts for callers anew, 0.9 ms of a whole core at 219 hosts and 1.5 ms at 311 (measured). Every host tells its data centre of its load up to once in 0.9 s, so at 219 hosts that is some 60 times a second: three quarters of what a host of 0.07 of a core has. Ruled out as the main cost: reading and writing of datagrams, 0.01 to 0.05 ms each.

Change: changes of members and loads are joined for 2 ms a host of the fleet before they are passed on, so that their part of the processor is the same at any size. A broadcast is encoded once, not once for each receiver.

--- a/core/gateway/crash_record.h
+++ b/core/gateway/crash_record.h
@@ -29,6 +29,8 @@
 
   /** The request was answered, so it does not crash endpoints. */
   [[nodiscard]] bool IsRefutation() const { return mEndpoint.empty(); }
+
+  bool operator==(const CrashRecord&) const = default;
 };
 
 }  // namespace papayawheel
--- a/core/gossip/gossip_message.h
+++ b/core/gossip/gossip_message.h
@@ -47,6 +47,8 @@
 
   /** Whether the record holds only name, incarnation and version. */
   [[nodiscard]] bool IsBrief() const { return mGossipAddress.empty(); }
+
+  bool operator==(const MemberRecord&) const = default;
 };
 
 /** How current a host's view of the platform's store is. */
@@ -66,6 +68,8 @@
   std::uint64_t mEra = 0;
   /** Digest of the changes in force that the store has lost; 0 for none. */
   std::uint64_t mLostDigest = 0;
+
+  bool operator==(const ViewSummary&) const = default;
 };
 
 /** Content of one datagram between two hosts. */
@@ -92,6 +96,8 @@
   /** Digest of the sender's crash records, equal on hosts that share the same
    * ones. Earlier versions of the program send none. */
   std::optional<std::uint64_t> mCrashDigest;
+
+  bool operator==(const GossipMessage&) const = default;
 };
 
 /** A message and the gossip address to send it to. */
--- a/core/gossip/host_load.h
+++ b/core/gossip/host_load.h
@@ -8,6 +8,8 @@
   double mCores = 0;
   /** Network link, in bytes per second in each direction. */
   double mLinkBytes = 0;
+
+  bool operator==(const HostCapacity&) const = default;
 };
 
 /** Load on a host from its callers, as reported by the host itself. */
@@ -16,6 +18,8 @@
   double mRequests = 0;
   /** Bytes per second over its link, in the busier direction. */
   double mLinkBytes = 0;
+
+  bool operator==(const HostLoad&) const = default;
 };
 
 }  // namespace papayawheel
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -29,6 +29,10 @@
  * this or more. Other hosts' ages differ a little by their way here. */
 constexpr milliseconds kMinLoggedShift{100};
 
+/** Published entries of one update that are logged one by one at level Info.
+ */
+constexpr std::size_t kMaxLoggedEntries = 16;
+
 std::uint64_t NewIncarnation(const Clock& aClock) {
   // Unique for each start: a host does not restart within one millisecond.
   return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(
@@ -197,8 +201,9 @@
 void GatewayControl::ScheduleIteration() {
   const TimePoint now = mClock.Now();
   TimePoint due = std::min(mGossip.NextDue(), mSynchronizer.NextDue(now));
-  if (const auto registry = mRegistry.NextDue()) {
-    due = std::min(due, *registry);
+  for (const auto& other :
+       {mRegistry.NextDue(), mMemberPublication.NextDue()}) {
+    due = std::min(due, other.value_or(due));
   }
   const auto wait = std::clamp<TimePoint::duration>(due - now, milliseconds(1),
                                                     kMaxIterationInterval);
@@ -244,6 +249,9 @@
 }
 
 void GatewayControl::Send(const Datagrams& aDatagrams) {
+  // A broadcast sends one message to many hosts, which is encoded once.
+  const GossipMessage* encoded = nullptr;
+  std::string text;
   for (const Datagram& datagram : aDatagrams) {
     const auto address = ParseAddress(datagram.mAddress);
     asio::error_code error;
@@ -252,9 +260,13 @@
     if (!address || error) {
       continue;
     }
+    if (encoded == nullptr || *encoded != datagram.mMessage) {
+      encoded = &datagram.mMessage;
+      text = EncodeGossip(datagram.mMessage);
+    }
     ++mCounts.mDatagramsSent;
     // Errors are ignored: gossip tolerates lost datagrams.
-    mSocket.send_to(asio::buffer(EncodeGossip(datagram.mMessage)),
+    mSocket.send_to(asio::buffer(text),
                     asio::ip::udp::endpoint(ip, address->mPort), 0, error);
   }
 }
@@ -343,11 +355,17 @@
   if (fromStore || mGossip.UsesRelays()) {
     Send(mGossip.BroadcastView(fromStore));
   }
+  // Hundreds of lines at once would delay the change on a small host, and fill
+  // the queue of lines. Event view_changed has the number of changes.
+  const LogLevel level =
+      mHasPublishedView && aChanges.size() <= kMaxLoggedEntries
+          ? LogLevel::Info
+          : LogLevel::Debug;
   for (const StoreChange& change : aChanges) {
     if (platform::IsConfigurationKey(change.mKey)) {
       ApplyConfiguration(change);
     } else if (const auto id = platform::EndpointIdOf(change.mKey)) {
-      ApplyEndpoint(*id, change);
+      ApplyEndpoint(*id, change, level);
     }
   }
   Log(LogLevel::Info, "view_changed",
@@ -429,7 +447,8 @@
 }
 
 void GatewayControl::ApplyEndpoint(const std::string& aId,
-                                   const StoreChange& aChange) {
+                                   const StoreChange& aChange,
+                                   LogLevel aLevel) {
   const TimePoint now = mClock.Now();
   if (!aChange.mValue) {
     const TimePoint usableUntil = mSynchronizer.UsableUntil(aChange, now);
@@ -451,11 +470,7 @@
     mRegistry.Remove(aId, now, now);
     return;
   }
-  // The entries of the first view are logged at level Debug only: hundreds of
-  // lines would delay the start of a small host. Event view_changed has their
-  // number.
-  Log(mHasPublishedView ? LogLevel::Info : LogLevel::Debug,
-      "endpoint_published",
+  Log(aLevel, "endpoint_published",
       {{"endpoint", aId},
        {"address", decoded.mValue->mAddress},
        {"draining", decoded.mValue->mDraining},
@@ -473,13 +488,12 @@
 }
 
 void GatewayControl::PublishMembers() {
-  if (mGossip.Generation() == mPublishedGeneration &&
-      mGossip.LoadGeneration() == mPublishedLoadGeneration) {
-    return;
+  const MemberGenerations current(mGossip.Generation(),
+                                  mGossip.LoadGeneration());
+  const std::size_t count = mGossip.MemberCount();
+  if (mMemberPublication.IsDue(current, count, mClock.Now())) {
+    mHooks.mMembersChanged(mGossip.Reachable(), count);
   }
-  mPublishedGeneration = mGossip.Generation();
-  mPublishedLoadGeneration = mGossip.LoadGeneration();
-  mHooks.mMembersChanged(mGossip.Reachable(), mGossip.MemberCount());
 }
 
 void GatewayControl::PublishViewFreshness() {
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -12,9 +12,11 @@
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_registry.h"
 #include "core/gossip/gossip_engine.h"
+#include "core/gossip/member_publication.h"
 #include "core/view/view_synchronizer.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "drivers/log.h"
 #include "platform/store_protocol.h"
 #include "servers/control_counts.h"
 #include "servers/gateway_settings.h"
@@ -112,7 +114,9 @@
    * of the store that showed it. */
   void NoteConfirmation();
   void ApplyConfiguration(const StoreChange& aChange);
-  void ApplyEndpoint(const std::string& aId, const StoreChange& aChange);
+  /** @param aLevel level at which a published entry is logged. */
+  void ApplyEndpoint(const std::string& aId, const StoreChange& aChange,
+                     LogLevel aLevel);
   void PublishView();
   void PublishMembers();
   void PublishViewFreshness();
@@ -133,10 +137,7 @@
   ViewSynchronizer mSynchronizer;
   EndpointRegistry mRegistry;
   std::shared_ptr<const RouteTable> mRoutes;
-  /** Generations of the member list and of its loads that the traffic thread
-   * has. */
-  std::uint64_t mPublishedGeneration = 0;
-  std::uint64_t mPublishedLoadGeneration = 0;
+  MemberPublication mMemberPublication;
   std::vector<std::string> mReaders;
   /** Generation of the member list and version of this host's own record from
    * which mReaders was computed. */
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -98,6 +98,7 @@
     return synchronizer->Summary(mEvents.Now());
   });
   host.mRegistry = EndpointRegistry();
+  host.mMemberPublication = MemberPublication();
   host.mAlive = true;
   host.mSuspended = false;
   host.mCallsStore = false;
@@ -367,7 +368,8 @@
   const TimePoint now = mEvents.Now();
   const TimePoint due = std::clamp(
       std::min({host.mGossip->NextDue(), host.mSynchronizer->NextDue(now),
-                host.mRegistry.NextDue().value_or(TimePoint::max())}),
+                host.mRegistry.NextDue().value_or(TimePoint::max()),
+                host.mMemberPublication.NextDue().value_or(TimePoint::max())}),
       now + milliseconds(1), now + kMaxIterationInterval);
   host.mNextIterationAt = due;
   mEvents.At(due, [this, aHost, due, epoch = host.mEpoch] {
@@ -426,13 +428,12 @@
 
 void GossipFleet::PublishMembers(std::size_t aHost) {
   Host& host = mHosts[aHost];
-  const std::pair current(host.mGossip->Generation(),
-                          host.mGossip->LoadGeneration());
-  if (host.mPublishedMembers == current) {
-    return;
+  const MemberGenerations current(host.mGossip->Generation(),
+                                  host.mGossip->LoadGeneration());
+  const std::size_t count = host.mGossip->MemberCount();
+  if (host.mMemberPublication.IsDue(current, count, mEvents.Now())) {
+    Spend(aHost, kMemberCost * count);
   }
-  host.mPublishedMembers = current;
-  Spend(aHost, kMemberCost * host.mGossip->MemberCount());
 }
 
 void GossipFleet::SetLoad(std::size_t aHost, const HostLoad& aLoad) {
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -11,6 +11,7 @@
 
 #include "core/endpoints/endpoint_registry.h"
 #include "core/gossip/gossip_engine.h"
+#include "core/gossip/member_publication.h"
 #include "core/view/view_synchronizer.h"
 #include "model/event_queue.h"
 
@@ -147,8 +148,7 @@
      * own version from which they were chosen. */
     std::vector<std::string> mReaders;
     std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersChosenFor;
-    /** Generations of the members and of their loads that were passed on. */
-    std::pair<std::uint64_t, std::uint64_t> mPublishedMembers;
+    MemberPublication mMemberPublication;
   };
   /** A read or watch of the store that is not answered yet. */
   struct PendingRead {
