CONFIG: what a datagram says is dated by its arrival, not by its handling

Hosts that were short of processor time answered callers by a configuration that had been replaced up to three seconds before, without a line in their logs.

Cause: a summary of a view was dated back from the moment when it was handled. So old evidence confirmed an old view, again and again.

Change: the socket is read whenever the thread runs and at least every 100 ms. A datagram counts as having arrived when the socket was last found empty, which cannot be too late.

The simulated fleet dates as the program does.

--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -194,7 +194,7 @@
 
 ViewActions ViewSynchronizer::NotePeerSummary(
     const std::string& aControlAddress, const ViewSummary& aSummary,
-    TimePoint aNow) {
+    TimePoint aArrivedAfter, TimePoint aNow) {
   ViewActions actions;
   if (aSummary.mNewest == 0) {
     return actions;
@@ -217,15 +217,17 @@
   if (isEqual) {
     mView.Advance(aSummary.mAsOf);
     if (aSummary.mAge) {
-      Confirm({aNow - *aSummary.mAge, aSummary.mConfirmation, aControlAddress});
+      Confirm({aArrivedAfter - *aSummary.mAge, aSummary.mConfirmation,
+               aControlAddress});
     }
     if (!HasOtherLostChanges(aSummary)) {
       return actions;
     }
-  } else if (aSummary.mAge && aNow - *aSummary.mAge >= mAnnounced.mAt) {
+  } else if (aSummary.mAge &&
+             aArrivedAfter - *aSummary.mAge >= mAnnounced.mAt) {
     mAnnouncedNewest = aSummary.mNewest;
     mAnnouncedEra = aSummary.mEra;
-    mAnnounced = {aNow - *aSummary.mAge, aSummary.mConfirmation,
+    mAnnounced = {aArrivedAfter - *aSummary.mAge, aSummary.mConfirmation,
                   aControlAddress};
   }
   if (!mPulling) {
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -87,9 +87,12 @@
 
   /** Another host sent a summary of its view. Confirms the view here if both
    * are equal; returns a pull if the other one is newer.
-   * @param aControlAddress where to pull from. */
+   * @param aControlAddress where to pull from.
+   * @param aArrivedAfter a time before the summary arrived, by which its age is
+   * dated: a busy host handles it some time after its arrival. */
   ViewActions NotePeerSummary(const std::string& aControlAddress,
-                              const ViewSummary& aSummary, TimePoint aNow);
+                              const ViewSummary& aSummary,
+                              TimePoint aArrivedAfter, TimePoint aNow);
 
   /** A pull has ended. Returns the changes that were not known yet.
    * @param aTransfer what the other host sent; empty if the pull failed. */
--- a/servers/control_counts.cpp
+++ b/servers/control_counts.cpp
@@ -11,6 +11,9 @@
          RenderCounter("gossip_datagrams_received_total",
                        "Datagrams received from other hosts.",
                        aCounts.mDatagramsReceived) +
+         RenderCounter("gossip_datagrams_dropped_total",
+                       "Datagrams dropped as too many waited.",
+                       aCounts.mDatagramsDropped) +
          RenderCounter("store_calls_total",
                        "Reads and watches of the platform's store.",
                        aCounts.mStoreCalls) +
--- a/servers/control_counts.h
+++ b/servers/control_counts.h
@@ -9,6 +9,8 @@
 struct ControlCounts {
   std::uint64_t mDatagramsSent = 0;
   std::uint64_t mDatagramsReceived = 0;
+  /** Datagrams that were dropped as too many waited to be handled. */
+  std::uint64_t mDatagramsDropped = 0;
   /** Reads and watches of the store. */
   std::uint64_t mStoreCalls = 0;
   /** Requests for changes to other hosts. */
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -25,6 +25,17 @@
  * kMaxIterationInterval and this. */
 constexpr milliseconds kMaxLateness{200};
 
+/** The socket is read at least at this interval. Datagrams count as having
+ * arrived when it was last found empty, so this bounds by how much a view is
+ * taken for older than it is. */
+constexpr milliseconds kMaxReadInterval{100};
+
+/** Datagrams that are read before one of them is handled. */
+constexpr std::size_t kMaxReads = 512;
+
+/** Interval of the log lines about dropped datagrams. */
+constexpr milliseconds kMinDropLogInterval{1000};
+
 /** The beginning of the store's period is logged again if it has shifted by
  * this or more. Other hosts' ages differ a little by their way here. */
 constexpr milliseconds kMinLoggedShift{100};
@@ -74,6 +85,7 @@
     : mSettings(aSettings),
       mClock(aClock),
       mHooks(std::move(aHooks)),
+      mInbox(aClock.Now()),
       mGossip(DescribeSelf(aSettings, aClock), SeedOf(aSettings)),
       mSynchronizer(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart,
                     platform::ReadWriteOrder),
@@ -100,13 +112,16 @@
   if (!error) {
     mSocket.bind(local, error);
   }
+  if (!error) {
+    mSocket.non_blocking(true, error);
+  }
   if (error) {
     mLastError = fmt::format("cannot open gossip port {}: {}",
                              mSettings.mGossipPort, error.message());
     return false;
   }
   SetSeeds(mSettings.mSeeds);
-  ReceiveNext();
+  AwaitDatagrams();
   RunIteration();
   return true;
 }
@@ -160,6 +175,8 @@
   if (gap > kSuspensionThreshold) {
     HandleSuspension(gap);
   }
+  ReadDatagrams();
+  NoteDroppedDatagrams();
   mGossip.SetStoreFailing(mSynchronizer.IsStoreFailing());
   Send(mGossip.Tick(now));
   Perform(mSynchronizer.Tick(RoleOf(mGossip.Self(), Readers()), now));
@@ -206,7 +223,7 @@
     due = std::min(due, other.value_or(due));
   }
   const auto wait = std::clamp<TimePoint::duration>(due - now, milliseconds(1),
-                                                    kMaxIterationInterval);
+                                                    kMaxReadInterval);
   mTimer.expires_after(wait);
   AwaitIteration();
 }
@@ -271,30 +288,70 @@
   }
 }
 
-void GatewayControl::ReceiveNext() {
-  mSocket.async_receive_from(
-      asio::buffer(mDatagram), mRemoteEndpoint,
-      [this](asio::error_code aError, std::size_t aSize) {
-        if (aError == asio::error::operation_aborted) {
-          return;
-        }
-        const std::string datagram(mDatagram.data(), aError ? 0 : aSize);
-        // Scheduled before this datagram is handled, so that an exception in
-        // its handling does not end the receiving.
-        ReceiveNext();
-        if (aError) {
-          return;
-        }
-        ++mCounts.mDatagramsReceived;
-        if (const auto message = DecodeGossip(datagram)) {
-          HandleMessage(*message);
-        } else {
-          Log(LogLevel::Warning, "datagram_malformed", {{"bytes", aSize}});
-        }
-      });
-}
-
-void GatewayControl::HandleMessage(const GossipMessage& aMessage) {
+void GatewayControl::AwaitDatagrams() {
+  mSocket.async_wait(asio::ip::udp::socket::wait_read,
+                     [this](asio::error_code aError) {
+                       if (aError == asio::error::operation_aborted) {
+                         return;
+                       }
+                       ReadDatagrams();
+                       AwaitDatagrams();
+                     });
+}
+
+void GatewayControl::ReadDatagrams() {
+  for (std::size_t read = 0; read < kMaxReads; ++read) {
+    const TimePoint before = mClock.Now();
+    asio::error_code error;
+    const std::size_t size = mSocket.receive_from(asio::buffer(mDatagram),
+                                                  mRemoteEndpoint, 0, error);
+    if (error == asio::error::would_block) {
+      mInbox.NoteSocketEmpty(before);
+      break;
+    }
+    if (!error) {
+      mInbox.Add(std::string(mDatagram.data(), size));
+    }
+  }
+  if (!mInbox.IsEmpty() && !mHandlesDatagrams) {
+    mHandlesDatagrams = true;
+    asio::post(mContext, [this] { HandleNextDatagram(); });
+  }
+}
+
+void GatewayControl::HandleNextDatagram() {
+  mHandlesDatagrams = false;
+  const auto next = mInbox.Take();
+  // Also schedules the next one, before this one is handled, so that an
+  // exception does not end the handling.
+  ReadDatagrams();
+  if (!next) {
+    return;
+  }
+  ++mCounts.mDatagramsReceived;
+  if (const auto message = DecodeGossip(next->mDatagram)) {
+    HandleMessage(*message, next->mArrivedAfter);
+  } else {
+    Log(LogLevel::Warning, "datagram_malformed",
+        {{"bytes", next->mDatagram.size()}});
+  }
+}
+
+void GatewayControl::NoteDroppedDatagrams() {
+  const TimePoint now = mClock.Now();
+  const std::uint64_t dropped = mInbox.Dropped();
+  if (dropped == mCounts.mDatagramsDropped ||
+      now - mDropsLoggedAt < kMinDropLogInterval) {
+    return;
+  }
+  mDropsLoggedAt = now;
+  Log(LogLevel::Warning, "datagrams_dropped",
+      {{"count", dropped - mCounts.mDatagramsDropped}, {"total", dropped}});
+  mCounts.mDatagramsDropped = dropped;
+}
+
+void GatewayControl::HandleMessage(const GossipMessage& aMessage,
+                                   TimePoint aArrivedAfter) {
   const TimePoint now = mClock.Now();
   if (now - mLastIteration > kSuspensionThreshold) {
     // The process was suspended. The overdue iteration invalidates the view;
@@ -305,7 +362,7 @@
   Send(mGossip.MessageArrived(aMessage, now));
   if (const auto sender = mGossip.Find(aMessage.mSender.mName)) {
     Perform(mSynchronizer.NotePeerSummary(sender->mControlAddress,
-                                          aMessage.mView, now));
+                                          aMessage.mView, aArrivedAfter, now));
     NoteConfirmation();
   }
   if (aMessage.mPassViewOn) {
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -11,6 +11,7 @@
 
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_registry.h"
+#include "core/gossip/datagram_inbox.h"
 #include "core/gossip/gossip_engine.h"
 #include "core/gossip/member_publication.h"
 #include "core/view/view_synchronizer.h"
@@ -87,8 +88,17 @@
    * are known here. */
   const std::vector<std::string>& Readers();
   void Send(const Datagrams& aDatagrams);
-  void ReceiveNext();
-  void HandleMessage(const GossipMessage& aMessage);
+  /** Reads datagrams whenever some arrive. */
+  void AwaitDatagrams();
+  /** Moves the datagrams that wait in the socket to the inbox. */
+  void ReadDatagrams();
+  /** Handles the datagrams in the inbox one after the other; other events run
+   * between them. */
+  void HandleNextDatagram();
+  /** Counts and logs datagrams that were dropped as too many waited. */
+  void NoteDroppedDatagrams();
+  /** @param aArrivedAfter a time before the message arrived. */
+  void HandleMessage(const GossipMessage& aMessage, TimePoint aArrivedAfter);
   void Perform(const ViewActions& aActions);
   /** Reads the next page of the whole store.
    * @param aSoFar contents of the pages before.
@@ -131,6 +141,10 @@
   asio::ip::udp::socket mSocket{mContext};
   asio::ip::udp::endpoint mRemoteEndpoint;
   std::array<char, 65536> mDatagram{};
+  DatagramInbox<std::string> mInbox;
+  /** Whether HandleNextDatagram() is scheduled. */
+  bool mHandlesDatagrams = false;
+  TimePoint mDropsLoggedAt;
   HttpClient mClient{mContext};
   std::unique_ptr<HttpServer> mServer;
   GossipEngine mGossip;
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -19,7 +19,7 @@
 constexpr milliseconds kStoreTimeout{1000};
 constexpr milliseconds kWatchSlack{700};
 constexpr milliseconds kPullTimeout{600};
-constexpr milliseconds kMaxIterationInterval{400};
+constexpr milliseconds kMaxIterationInterval{100};
 constexpr std::size_t kSeeds = 3;
 
 /** Bytes of a transfer between hosts in addition to its changes. */
@@ -33,6 +33,7 @@
 constexpr std::size_t kSocketDatagrams = 256;
 
 // Costs in time of a whole core.
+constexpr std::chrono::microseconds kReadCost{3};
 constexpr std::chrono::microseconds kReceiveCost{40};
 constexpr std::chrono::microseconds kSendCost{20};
 constexpr std::chrono::microseconds kIterationCost{20};
@@ -105,6 +106,7 @@
   host.mPull = 0;
   host.mTasks.clear();
   host.mSocket.clear();
+  host.mInbox = DatagramInbox<GossipMessage>(mEvents.Now());
   host.mReadersChosenFor.reset();
   ++host.mEpoch;
   Queue(aHost, [this, aHost] { RunIteration(aHost); });
@@ -134,20 +136,21 @@
 
 void GossipFleet::Work(std::size_t aHost) {
   Host& host = mHosts[aHost];
-  if (host.mIsBusy || (host.mTasks.empty() && host.mSocket.empty())) {
+  const bool hasDatagram = !host.mSocket.empty() || !host.mInbox.IsEmpty();
+  if (host.mIsBusy || (host.mTasks.empty() && !hasDatagram)) {
     return;
   }
   host.mIsBusy = true;
   host.mSpent = Duration::zero();
   // As an event loop does, one datagram is handled after each other event.
   const bool takesDatagram =
-      host.mTasks.empty() || (host.mIsSocketNext && !host.mSocket.empty());
+      host.mTasks.empty() || (host.mIsSocketNext && hasDatagram);
   host.mIsSocketNext = !takesDatagram;
   if (takesDatagram) {
-    const GossipMessage text = std::move(host.mSocket.front());
-    host.mSocket.pop_front();
+    ReadDatagrams(aHost);
     Spend(aHost, kReceiveCost);
-    HandleMessage(aHost, text);
+    const auto next = host.mInbox.Take();
+    HandleMessage(aHost, next->mDatagram, next->mArrivedAfter);
   } else {
     const auto task = std::move(host.mTasks.front());
     host.mTasks.pop_front();
@@ -160,6 +163,16 @@
   });
 }
 
+void GossipFleet::ReadDatagrams(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  for (GossipMessage& text : host.mSocket) {
+    Spend(aHost, kReadCost);
+    host.mInbox.Add(std::move(text));
+  }
+  host.mSocket.clear();
+  host.mInbox.NoteSocketEmpty(mEvents.Now());
+}
+
 void GossipFleet::Spend(std::size_t aHost, Duration aCoreTime) {
   Host& host = mHosts[aHost];
   if (host.mResources.mCores > 0) {
@@ -353,6 +366,7 @@
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
   Spend(aHost, kIterationCost);
+  ReadDatagrams(aHost);
   host.mGossip->SetStoreFailing(host.mSynchronizer->IsStoreFailing());
   Send(aHost, host.mGossip->Tick(now));
   const ReaderRole role = RoleOf(host.mGossip->Self(), ReadersKnownTo(aHost));
@@ -403,7 +417,7 @@
   }
   ++host.mReceived;
   if (host.mResources.mCores == 0) {
-    HandleMessage(aTo, aText);
+    HandleMessage(aTo, aText, mEvents.Now());
     return;
   }
   if (host.mSocket.size() < kSocketDatagrams) {
@@ -412,13 +426,14 @@
   }
 }
 
-void GossipFleet::HandleMessage(std::size_t aHost, const GossipMessage& aText) {
+void GossipFleet::HandleMessage(std::size_t aHost, const GossipMessage& aText,
+                                TimePoint aArrivedAfter) {
   Host& host = mHosts[aHost];
   const TimePoint now = mEvents.Now();
   Send(aHost, host.mGossip->MessageArrived(aText, now));
   if (const auto sender = host.mGossip->Find(aText.mSender.mName)) {
-    Act(aHost, host.mSynchronizer->NotePeerSummary(sender->mControlAddress,
-                                                   aText.mView, now));
+    Act(aHost, host.mSynchronizer->NotePeerSummary(
+                   sender->mControlAddress, aText.mView, aArrivedAfter, now));
   }
   if (aText.mPassViewOn) {
     Send(aHost, host.mGossip->PassViewOn());
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "core/endpoints/endpoint_registry.h"
+#include "core/gossip/datagram_inbox.h"
 #include "core/gossip/gossip_engine.h"
 #include "core/gossip/member_publication.h"
 #include "core/view/view_synchronizer.h"
@@ -138,6 +139,7 @@
     /** Events that wait for the processor. */
     std::deque<std::function<void()>> mTasks;
     std::deque<GossipMessage> mSocket;
+    DatagramInbox<GossipMessage> mInbox{TimePoint{}};
     /** Whether the processor is busy, and whether the socket is next. */
     bool mIsBusy = false;
     bool mIsSocketNext = false;
@@ -174,7 +176,10 @@
   void Schedule(std::size_t aHost);
   void Send(std::size_t aFrom, const papayawheel::Datagrams& aDatagrams);
   void Deliver(std::size_t aFrom, std::size_t aTo, const GossipMessage& aText);
-  void HandleMessage(std::size_t aHost, const GossipMessage& aText);
+  void HandleMessage(std::size_t aHost, const GossipMessage& aText,
+                     TimePoint aArrivedAfter);
+  /** Moves the datagrams that wait in the socket to the inbox. */
+  void ReadDatagrams(std::size_t aHost);
   /** Runs an event of a host, or queues it while the processor is busy. It is
    * dropped if the host is stopped before. */
   void Queue(std::size_t aHost, std::function<void()> aEvent);
--- a/tests/core/test_restored_store.cpp
+++ b/tests/core/test_restored_store.cpp
@@ -297,9 +297,9 @@
   before.StoreAnswered(ReadOf(1, 9, {{"key", 9, "9"}, {"other", 4, "1"}}), now);
   after.Tick(ReaderRole::Watcher, now);
   after.StoreAnswered(ReadOf(2, 9, {{"key", 3, "2"}, {"new", 9, "1"}}), now);
-  CHECK(after.NotePeerSummary("before", before.Summary(now), now).empty());
+  CHECK(after.NotePeerSummary("before", before.Summary(now), now, now).empty());
   const ViewActions actions =
-      before.NotePeerSummary("after", after.Summary(now), now);
+      before.NotePeerSummary("after", after.Summary(now), now, now);
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
   const auto copy = after.ServePull(pull.mEra, pull.mAfter, now);
@@ -312,14 +312,14 @@
   CHECK(before.View().ValueOf("new") == "1");
   // The host that knew only the copy learns of the newer value.
   const ViewActions back =
-      after.NotePeerSummary("before", before.Summary(now), now);
+      after.NotePeerSummary("before", before.Summary(now), now, now);
   REQUIRE(back.size() == 1);
   const auto& pullBack = std::get<PullView>(back.front());
   const auto changes = after.FinishPull(
       before.ServePull(pullBack.mEra, pullBack.mAfter, now), now);
   REQUIRE(changes.size() == 1);
   CHECK(after.View().ValueOf("key") == "9");
-  CHECK(after.NotePeerSummary("before", before.Summary(now), now).empty());
+  CHECK(after.NotePeerSummary("before", before.Summary(now), now, now).empty());
   // A copy of the earlier era that arrives late changes nothing.
   after.FinishPull(
       ViewTransfer{ReadOf(1, 20, {{"key", 20, "20"}}), seconds(0), 1}, now);
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -70,6 +70,7 @@
   // The other host's view was last confirmed before this process started.
   CHECK_FALSE(synchronizer.IsViewFresh(kStart + milliseconds(50)));
   synchronizer.NotePeerSummary("peer", ViewSummary{4, 5, milliseconds(0)},
+                               kStart + milliseconds(60),
                                kStart + milliseconds(60));
   CHECK(synchronizer.IsViewFresh(kStart + milliseconds(60)));
   synchronizer.Invalidate(kStart + seconds(9));
@@ -87,10 +88,10 @@
   for (int hop = 0; hop < 50; ++hop) {
     const ViewSummary fromOne = one.Summary(now);
     now += milliseconds(20);
-    other.NotePeerSummary("one", fromOne, now);
+    other.NotePeerSummary("one", fromOne, now, now);
     const ViewSummary fromOther = other.Summary(now);
     now += milliseconds(20);
-    one.NotePeerSummary("other", fromOther, now);
+    one.NotePeerSummary("other", fromOther, now, now);
   }
   const StoreDelta nothing{false, 5, {}};
   other.FinishPull(ViewTransfer{nothing, one.Summary(now).mAge,
@@ -112,7 +113,7 @@
     source.StoreAnswered(StoreDelta{false, revision, {{"key", revision, "x"}}},
                          now);
     REQUIRE_FALSE(
-        target.NotePeerSummary("peer", source.Summary(now), now).empty());
+        target.NotePeerSummary("peer", source.Summary(now), now, now).empty());
     now += milliseconds(50);
     const auto transfer = source.ServePull(0, revision - 1, now);
     now += milliseconds(50);
@@ -138,14 +139,15 @@
   started.Tick(ReaderRole::Watcher, now);
   started.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}}}, now);
   const ViewActions actions =
-      other.NotePeerSummary("started", started.Summary(now), now);
+      other.NotePeerSummary("started", started.Summary(now), now, now);
   REQUIRE(actions.size() == 1);
   const auto& pull = std::get<PullView>(actions.front());
   other.FinishPull(started.ServePull(pull.mEra, pull.mAfter, now), now);
   CHECK_FALSE(other.View().Items().at("removed").mValue);
   // Neither host asks the other one again.
-  CHECK(other.NotePeerSummary("started", started.Summary(now), now).empty());
-  CHECK(started.NotePeerSummary("other", other.Summary(now), now).empty());
+  CHECK(
+      other.NotePeerSummary("started", started.Summary(now), now, now).empty());
+  CHECK(started.NotePeerSummary("other", other.Summary(now), now, now).empty());
 }
 
 // Guards against a host that never learns of a change: a reader missed it
@@ -166,7 +168,7 @@
                        now);
   const auto pullFromReader = [&] {
     const ViewActions actions =
-        other.NotePeerSummary("reader", reader.Summary(now), now);
+        other.NotePeerSummary("reader", reader.Summary(now), now, now);
     for (const ViewAction& action : actions) {
       if (const auto* const pull = std::get_if<PullView>(&action)) {
         other.FinishPull(reader.ServePull(pull->mEra, pull->mAfter, now), now);
