CONFIG: an answer of the store that a host has heard of before is never a new one

Callers got answers by an old configuration from hosts that did nothing about it for seconds.

An answer that the store gave at -6.310 s still confirmed views at 3.0 s, with a claimed age of 0.08 s.

Cause: a host remembered one answer only, the latest. Of two answers that hosts tell each other, each counted as new whenever the other one had come between, dated later by the way of the message. So the times of all hops added up, 50 times a second, and a view was confirmed for ever by hosts that all lacked the same change. No socket has to be full for it; a busy host makes it faster.

Change: each host remembers the answers that it has heard of, and dates each one by the earliest time that anybody gave for it.

view synchronizer: answers of the store that alternate grow old: failed before, with ages of 0.84 s after 3 s in all eight hosts; passes now.

--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -473,20 +473,19 @@
 }
 
 void ViewSynchronizer::Confirm(const ViewConfirmation& aConfirmation) {
-  const TimePoint at = aConfirmation.mAt;
+  const TimePoint at =
+      mConfirmations.DateOf(aConfirmation.mId, aConfirmation.mAt);
   mCompleteAt = mCompleteAt ? std::max(*mCompleteAt, at) : at;
   if (mInvalidatedAt && at < *mInvalidatedAt) {
     return;
   }
-  const bool isKnown = mConfirmed && aConfirmation.mId != 0 &&
-                       aConfirmation.mId == mConfirmed->mId;
-  if (isKnown) {
-    mConfirmed->mAt = std::min(mConfirmed->mAt, at);
-    return;
-  }
   mInvalidatedAt.reset();
-  if (!mConfirmed || at > mConfirmed->mAt) {
-    mConfirmed = aConfirmation;
+  const bool isPresent = mConfirmed && aConfirmation.mId != 0 &&
+                         aConfirmation.mId == mConfirmed->mId;
+  if (isPresent) {
+    mConfirmed->mAt = at;
+  } else if (!mConfirmed || at > mConfirmed->mAt) {
+    mConfirmed = ViewConfirmation{at, aConfirmation.mId, aConfirmation.mSource};
   }
 }
 
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -10,6 +10,7 @@
 
 #include "core/base/clock.h"
 #include "core/gossip/gossip_message.h"
+#include "core/view/confirmation_history.h"
 #include "core/view/reader_ranking.h"
 #include "core/view/store_availability.h"
 #include "core/view/store_view.h"
@@ -192,6 +193,7 @@
   std::minstd_rand mRandom;
   TimePoint mStartedAt;
   std::optional<ViewConfirmation> mConfirmed;
+  ConfirmationHistory mConfirmations;
   /** Age of the last confirmation from which this host reads the store by
    * itself. */
   Duration mMaxConfirmationAge;
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "core/view/view_synchronizer.h"
 
 namespace papayawheel {
@@ -101,6 +103,46 @@
   CHECK(*other.Summary(now).mAge >= now - kStart - milliseconds(20));
 }
 
+// Guards against hosts that lack a change and confirm each other's old view for
+// ever: they tell each other of several answers of the store in turn, and take
+// each one that is not the latest they heard of for a new one.
+TEST_CASE("view synchronizer: answers of the store that alternate grow old") {
+  constexpr std::size_t kHosts = 8;
+  constexpr milliseconds kStep{5};
+  /** Messages take so many steps at most. */
+  constexpr std::size_t kMaxSteps = 8;
+  std::mt19937 random(1);
+  std::vector<ViewSynchronizer> hosts;
+  for (std::uint32_t seed = 1; seed <= kHosts; ++seed) {
+    hosts.push_back(MakeReader(kStart - kStep * seed, seed));
+  }
+  struct Message {
+    std::size_t mTo;
+    std::size_t mArrivesAt;
+    ViewSummary mSummary;
+  };
+  std::vector<Message> messages;
+  TimePoint now = kStart;
+  for (std::size_t step = 0; step < 600; ++step, now += kStep) {
+    for (const ViewSynchronizer& from : hosts) {
+      messages.push_back({random() % kHosts, step + 1 + random() % kMaxSteps,
+                          from.Summary(now)});
+    }
+    for (const Message& message : messages) {
+      if (message.mArrivesAt == step) {
+        hosts[message.mTo].NotePeerSummary("peer", message.mSummary, now, now);
+      }
+    }
+    std::erase_if(messages, [step](const Message& aMessage) {
+      return aMessage.mArrivesAt <= step;
+    });
+  }
+  for (const ViewSynchronizer& host : hosts) {
+    // Each answer may seem younger by the way from its reader to this host.
+    CHECK(*host.Summary(now).mAge >= now - kStart - kHosts * kMaxSteps * kStep);
+  }
+}
+
 // Guards against a period of the store that begins earlier with each host that
 // it is passed on to, by the time of each pull.
 TEST_CASE("view synchronizer: a period that is passed on keeps its beginning") {
