Reports: an answer without end is given up in its head, too, and all share a limit

A report of others: a faulty peer sent bytes without end, in a head or a body, and the process that had called it ran out of memory.

Could it happen here? The client of the gateway's traffic has limits for heads and bodies, which gateway_endless_answers plays. The client for the store, for other hosts and for all calls of papayawheel-entry had none for heads: trailers without end were kept for as long as the call lasted, 58,646,521 bytes in 2 s on loopback, and interim answers 273,056 bytes of headers. Bodies had a limit of 16 MiB each, and none together.

Change: 64 KiB for the head with interim answers and trailers, and 32 MiB for all unfinished answers of one client, as the other client has.

http client: an answer without end is given up: failed before for headers and trailers. http client: many answers without end share a limit: failed before, each of eight calls took 16 MiB.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -65,7 +65,7 @@
   Impl& operator=(const Impl&) = delete;
 
   Id Send(const HttpCall& aCall, Callback aCallback) {
-    auto transfer = std::make_unique<HttpTransfer>();
+    auto transfer = std::make_unique<HttpTransfer>(mUnfinishedBytes);
     transfer->mId = ++mLastId;
     transfer->mBody = aCall.mBody;
     transfer->mCallback = std::move(aCallback);
@@ -308,6 +308,8 @@
   asio::steady_timer mTimer;
   CURLM* mMulti;
   Id mLastId = 0;
+  /** Used by the transfers, so it is declared before them. */
+  std::size_t mUnfinishedBytes = 0;
   std::unordered_map<Id, std::unique_ptr<HttpTransfer>> mTransfers;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> mWatches;
   std::vector<CURL*> mPool;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -22,7 +22,9 @@
   HeaderList mHeaders;
   std::string mBody;
   std::chrono::milliseconds mTimeout{1000};
-  /** An answer with a larger body, in bytes, counts as Cut. */
+  /** An answer with a larger body, in bytes, counts as Cut. So does one with a
+   * head of over 64 KiB, and one that arrives while the unfinished answers of
+   * the client take over 32 MiB. */
   std::size_t mMaxAnswer = 16U << 20U;
   /** Sends TCP keep-alive probes, so that a request ends soon when the peer
    * becomes unreachable, even while nothing is being sent. */
--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -7,6 +7,14 @@
 namespace papayawheel {
 namespace {
 
+/** Bytes of the head of an answer, with those of interim answers and trailers.
+ * A peer that sends more is faulty. */
+constexpr std::size_t kMaxHeadBytes = 64U << 10U;
+
+/** Bytes of the unfinished answers of all transfers of a client. The smallest
+ * hosts have 112 MB of memory. */
+constexpr std::size_t kMaxUnfinishedBytes = 32U << 20U;
+
 std::string ToLower(std::string aText) {
   std::transform(aText.begin(), aText.end(), aText.begin(),
                  [](unsigned char aByte) { return std::tolower(aByte); });
@@ -36,9 +44,11 @@
                                  std::size_t aCount, void* aTransfer) {
   auto& transfer = *static_cast<HttpTransfer*>(aTransfer);
   const std::size_t bytes = aSize * aCount;
-  if (transfer.mResult.mBody.size() + bytes > transfer.mMaxAnswer) {
+  if (transfer.mBodyBytes + bytes > transfer.mMaxAnswer ||
+      !transfer.Reserve(bytes)) {
     return 0;
   }
+  transfer.mBodyBytes += bytes;
   transfer.mResult.mBody.append(aData, bytes);
   return bytes;
 }
@@ -46,13 +56,18 @@
 std::size_t HttpTransfer::OnHeader(char* aData, std::size_t aSize,
                                    std::size_t aCount, void* aTransfer) {
   auto& transfer = *static_cast<HttpTransfer*>(aTransfer);
-  const std::string line(aData, aSize * aCount);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer.mHeadBytes + bytes > kMaxHeadBytes || !transfer.Reserve(bytes)) {
+    return 0;
+  }
+  transfer.mHeadBytes += bytes;
+  const std::string line(aData, bytes);
   HttpResult& result = transfer.mResult;
   if (line.starts_with("HTTP/")) {
     // A status line: the headers before it belong to an interim answer.
     result.mHeaders.clear();
     result.mAllHeaders.clear();
-    return aSize * aCount;
+    return bytes;
   }
   const std::size_t colon = line.find(':');
   if (colon != std::string::npos) {
@@ -61,7 +76,15 @@
     result.mHeaders[ToLower(name)] = value;
     result.mAllHeaders.emplace_back(name, value);
   }
-  return aSize * aCount;
+  return bytes;
+}
+
+bool HttpTransfer::Reserve(std::size_t aBytes) {
+  if (mUnfinishedBytes + aBytes > kMaxUnfinishedBytes) {
+    return false;
+  }
+  mUnfinishedBytes += aBytes;
+  return true;
 }
 
 int HttpTransfer::OnBeforeWrite(void* aTransfer, char* /*aRemoteIp*/,
--- a/drivers/http_transfer.h
+++ b/drivers/http_transfer.h
@@ -11,6 +11,14 @@
 
 /** A request of an HttpClient that is in progress. */
 struct HttpTransfer {
+  /** @param aUnfinishedBytes bytes of the unfinished answers of all transfers
+   * of a client, which outlives this one. */
+  explicit HttpTransfer(std::size_t& aUnfinishedBytes)
+      : mUnfinishedBytes(aUnfinishedBytes) {}
+  ~HttpTransfer() { mUnfinishedBytes -= mHeadBytes + mBodyBytes; }
+  HttpTransfer(const HttpTransfer&) = delete;
+  HttpTransfer& operator=(const HttpTransfer&) = delete;
+
   HttpClient::Id mId = 0;
   CURL* mHandle = nullptr;
   curl_slist* mHeaders = nullptr;
@@ -18,6 +26,11 @@
   HttpClient::Callback mCallback;
   HttpResult mResult;
   std::size_t mMaxAnswer = 0;
+  /** Bytes of the head, with those of interim answers and trailers. */
+  std::size_t mHeadBytes = 0;
+  /** Bytes of the body that were received. */
+  std::size_t mBodyBytes = 0;
+  std::size_t& mUnfinishedBytes;
   bool mIsHead = false;
   /** Set before the request is written to a connection. */
   bool mWritten = false;
@@ -33,6 +46,11 @@
   /** Converts libcurl's result code and the state of the transfer to the kind
    * of the result. */
   [[nodiscard]] HttpResultKind KindOf(CURLcode aCode) const;
+
+ private:
+  /** Counts bytes that are going to be stored. Returns false if the unfinished
+   * answers of the client are too large with them. */
+  bool Reserve(std::size_t aBytes);
 };
 
 }  // namespace papayawheel
