CONFIG: the steps until a change is known add up to less than its bound

With the readers turned away by the store, the chain of steps until the last host knew a change could take over 5 s: a confirmation older than 1.3 to 1.5 s, a call that hangs for 0.7 s, a pause of 1.5 to 3 s after it, a pull that hangs for 0.6 s. And every late host asked the same three readers each 250 ms, some 1,200 datagrams a second each at 311 hosts, and then read the store by itself, all of them within 0.2 s. Class: a chain of timeouts, each short alone, and steps whose cost grows with the fleet at its busiest hosts.

Change: hosts have a rank. Once the last confirmation is 1.1 s old, they read the store in turn, four in the first 50 ms and twice as many in each further 50 ms. The first one that gets an answer tells all others, and stands in for the confirmer until that one is back. Watchers give up a waiting watch for it. Late hosts ask two random hosts, with growing pauses. Readers and relays are hosts with much processor, if there are any. While no host is served, three readers go on trying, the others ever more seldom by rank. A pull that takes over 0.2 s does not keep a host from asking another one. The answer to a call counts as of when the call began, not of when it is handled.

--- a/core/gossip/gossip_broadcast.cpp
+++ b/core/gossip/gossip_broadcast.cpp
@@ -200,7 +200,13 @@
   message.mPassViewOn = UsesRelays();
   for (auto& [centre, members] : byDataCentre) {
     if (UsesRelays()) {
-      members = {members[mRandom() % members.size()]};
+      std::shuffle(members.begin(), members.end(), mRandom);
+      members = {
+          *std::max_element(members.begin(), members.end(),
+                            [](const Member* aLeft, const Member* aRight) {
+                              return ProcessorClass(aLeft->mRecord.mCapacity) <
+                                     ProcessorClass(aRight->mRecord.mCapacity);
+                            })};
     }
     for (Member* const member : members) {
       SendTo(*member, message, datagrams);
--- a/core/gossip/gossip_engine.cpp
+++ b/core/gossip/gossip_engine.cpp
@@ -451,6 +451,26 @@
   return datagrams;
 }
 
+Datagrams GossipEngine::PingSome(std::size_t aCount, TimePoint aNow) {
+  std::vector<Member*> candidates;
+  for (auto& [name, member] : mMembers) {
+    if (member.mReachable && !member.mPingedAt) {
+      candidates.push_back(&member);
+    }
+  }
+  std::shuffle(candidates.begin(), candidates.end(), mRandom);
+  std::stable_partition(
+      candidates.begin(), candidates.end(), [this](const Member* aMember) {
+        return aMember->mRecord.mDataCentre == mSelf.mDataCentre;
+      });
+  candidates.resize(std::min(candidates.size(), aCount));
+  Datagrams datagrams;
+  for (Member* const member : candidates) {
+    Ping(*member, aNow, datagrams);
+  }
+  return datagrams;
+}
+
 Datagrams GossipEngine::ResumeAfterSuspension(
     const std::vector<std::string>& aPingFirst, TimePoint aNow) {
   Datagrams datagrams;
--- a/core/gossip/gossip_engine.h
+++ b/core/gossip/gossip_engine.h
@@ -73,11 +73,16 @@
   Datagrams BroadcastView(bool aRemote);
 
   /** Sends the view summary to all hosts of a small fleet, otherwise to one
-   * host of each data centre, which passes it on. */
+   * host of each data centre, which passes it on. That is one of those with the
+   * most processor. */
   Datagrams BroadcastConfirmation();
   /** Sends the view summary to all hosts of this data centre. */
   Datagrams PassViewOn();
 
+  /** Pings some random hosts at once, in the data centre if possible, to get
+   * their view summaries. Hosts with an unanswered ping are skipped. */
+  Datagrams PingSome(std::size_t aCount, TimePoint aNow);
+
   /** Pings the given hosts at once, to get their view summaries. Unknown hosts
    * and those with an unanswered ping are skipped. */
   Datagrams PingMembers(const std::vector<std::string>& aNames, TimePoint aNow);
--- a/core/view/confirmation_history.cpp
+++ b/core/view/confirmation_history.cpp
@@ -1,7 +1,5 @@
 #include "core/view/confirmation_history.h"
 
-#include <algorithm>
-
 namespace papayawheel {
 namespace {
 
@@ -17,7 +15,6 @@
   }
   const auto [known, isNew] = mDates.try_emplace(aId, aAt);
   if (!isNew) {
-    known->second = std::min(known->second, aAt);
     return known->second;
   }
   mOrder.push_back(aId);
--- a/core/view/confirmation_history.h
+++ b/core/view/confirmation_history.h
@@ -13,13 +13,14 @@
  * first learned of them.
  *
  * Hosts tell each other of several such answers at the same time. Each message
- * dates its answer a little too late, by the time that it was on its way. If a
- * host took an answer that it has heard of before for a new one, these times
- * would add up, and an old view would be confirmed for ever. */
+ * dates its answer a little too late, by the time that it was on its way, or
+ * too early, if its arrival is not known exactly. If a host dated an answer
+ * anew whenever it hears of it, these errors would add up: an old view would be
+ * confirmed for ever, or a confirmation would soon seem old. */
 class ConfirmationHistory {
  public:
-  /** Records that an answer is dated at a time. Returns the earliest time at
-   * which it was dated here.
+  /** Records that an answer is dated at a time. Returns the time at which it
+   * was dated here first.
    * @param aId identifies the answer; 0 if unknown. */
   TimePoint DateOf(std::uint64_t aId, TimePoint aAt);
 
--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -3,15 +3,17 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/view/reading_turns.h"
+
 namespace papayawheel {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/** How long a watch may wait in the store for a change. A lost answer is
- * detected only after this time. */
-constexpr milliseconds kWatchTimeout{4000};
+/** How long a watch may wait in the store for a change. It is given up before
+ * if nobody confirms the view. */
+constexpr milliseconds kWatchTimeout{6000};
 
 /** The same for the confirmer, so that the store confirms the fleet's view at
  * this interval. */
@@ -32,13 +34,6 @@
  * succession are fetched in one call. */
 constexpr milliseconds kChangeBatchDelay{200};
 
-/** If the view has not been confirmed for this time, the host reads the store
- * by itself. Every host must know of a change within 2 s. Each host adds a
- * random time of up to kMaxConfirmationSpread, so that the first ones to read
- * tell the others. */
-constexpr milliseconds kMaxConfirmationAge{1300};
-constexpr milliseconds kMaxConfirmationSpread{200};
-
 /** Time after the start for which a host relies on other hosts for its first
  * view before it reads the store by itself. */
 constexpr milliseconds kStartGrace{1200};
@@ -50,14 +45,18 @@
 constexpr milliseconds kFirstFleetStartDelay{900};
 
 /** Age of the last confirmation from which a host that is not the confirmer
- * asks the readers for a new one, and the interval between such requests. */
-constexpr milliseconds kAskReadersAge{1000};
-constexpr milliseconds kAskReadersInterval{250};
-
-/** Minimum delays before a failed store call is retried, for readers and for
- * other hosts. A random time of up to the same length is added. */
-constexpr milliseconds kReaderRetryDelay{300};
-constexpr milliseconds kNonReaderRetryDelay{1500};
+ * asks other hosts for a new one. The interval between such questions grows
+ * from the first value to the second. */
+constexpr milliseconds kAskHostsAge{1000};
+constexpr milliseconds kMinQueryInterval{250};
+constexpr milliseconds kMaxQueryInterval{1000};
+
+/** Minimum delay before a failed store call is retried. For other hosts than
+ * readers it grows by the same again for each kRanksPerRetryDelay hosts before
+ * them, so that the calls of a fleet whose store is away hardly grow with it. A
+ * random time of up to the same length is added. */
+constexpr milliseconds kRetryDelay{300};
+constexpr std::size_t kRanksPerRetryDelay = 8;
 
 /** Maximum delay of the full read after an answer that does not lead on from
  * the view. */
@@ -96,7 +95,6 @@
     : mView(std::move(aReadOrder)),
       mRandom(aSeed),
       mStartedAt(aNow),
-      mMaxConfirmationAge(kMaxConfirmationAge + Jitter(kMaxConfirmationSpread)),
       mInvalidatedAt(aNow),
       mNextCall(aNow) {
   const Duration delay =
@@ -104,26 +102,27 @@
   mNextCall += delay + Jitter(delay);
 }
 
-ViewActions ViewSynchronizer::Tick(ReaderRole aRole, TimePoint aNow) {
+ViewActions ViewSynchronizer::Tick(const ReaderDuty& aDuty, TimePoint aNow) {
   ViewActions actions;
   const bool becomesReader =
-      mRole == ReaderRole::None && aRole != ReaderRole::None;
+      mDuty.mRole == ReaderRole::None && aDuty.mRole != ReaderRole::None;
   if (becomesReader && mView.IsLoaded()) {
-    mNextCall =
-        std::min<TimePoint>(mNextCall, aNow + Jitter(kReaderRetryDelay));
+    mNextCall = std::min<TimePoint>(mNextCall, aNow + Jitter(kRetryDelay));
   }
-  mRole = aRole;
+  mDuty = aDuty;
   if (mHasUnconfirmedRemovals && aNow >= ExpiriesUntil(aNow)) {
     mHasUnconfirmedRemovals = false;
     mView.ConfirmRemovals();
   }
-  const bool isOld = !mConfirmed || aNow - mConfirmed->mAt > kAskReadersAge;
-  if (!IsConfirmer() && isOld && aNow >= mNextReaderQuery) {
-    mNextReaderQuery = aNow + kAskReadersInterval;
-    actions.emplace_back(AskReaders{});
+  AskIfOld(aNow, actions);
+  const bool needsOwnRead = aNow > OwnReadAt();
+  if (needsOwnRead && CanGiveUpWatch()) {
+    mStoreCallPending = false;
+    mNextCall = aNow;
+    actions.emplace_back(CancelStoreCall{});
   }
   if (mStoreCallPending || aNow < mNextCall ||
-      (aRole == ReaderRole::None && !NeedsOwnRead(aNow))) {
+      (aDuty.mRole == ReaderRole::None && !needsOwnRead)) {
     return actions;
   }
   mStoreCallPending = true;
@@ -140,55 +139,94 @@
   return actions;
 }
 
+void ViewSynchronizer::AskIfOld(TimePoint aNow, ViewActions& aActions) {
+  const bool isOld = !mConfirmed || aNow - mConfirmed->mAt > kAskHostsAge;
+  if (!isOld || IsConfirmer()) {
+    mQueryInterval = kMinQueryInterval;
+    return;
+  }
+  if (aNow < mNextQuery) {
+    return;
+  }
+  mNextQuery = aNow + mQueryInterval + Jitter(mQueryInterval);
+  mQueryInterval = std::min<Duration>(2 * mQueryInterval, kMaxQueryInterval);
+  aActions.emplace_back(AskHosts{});
+}
+
+bool ViewSynchronizer::CanGiveUpWatch() const {
+  return mStoreCallPending && mDuty.mRole == ReaderRole::Watcher &&
+         mWatchWait > kMaxConfirmationAge;
+}
+
+bool ViewSynchronizer::StandsInForConfirmer() const {
+  return mDuty.mRole == ReaderRole::None && mConfirmed &&
+         mConfirmed->mSource.empty();
+}
+
+TimePoint ViewSynchronizer::OwnReadAt() const {
+  const Duration turn = TurnOf(mDuty.mRank);
+  if (!mConfirmed) {
+    return mStartedAt + kStartGrace + turn;
+  }
+  return mConfirmed->mAt + (StandsInForConfirmer()
+                                ? Duration(kConfirmationInterval)
+                                : kMaxConfirmationAge + turn);
+}
+
 Duration ViewSynchronizer::NextWatchWait(TimePoint aNow) const {
   const bool mayBeUnreachable = mFailures > 0 || !mAnsweredAt ||
                                 aNow - *mAnsweredAt > kMaxConfirmationAge;
-  if (mayBeUnreachable || mRole == ReaderRole::None) {
+  if (mayBeUnreachable || mDuty.mRole == ReaderRole::None) {
     return kShortWatchTimeout;
   }
   if (!IsConfirmer()) {
     return kWatchTimeout;
   }
-  return aNow < ExpiriesUntil(aNow) ? kExpiryWatchTimeout
-                                    : kConfirmationInterval;
+  if (aNow < ExpiriesUntil(aNow)) {
+    return kExpiryWatchTimeout;
+  }
+  // An answer that was not told to the others does not delay the next one.
+  const TimePoint last = mConfirmed ? mConfirmed->mAt : aNow;
+  const TimePoint due =
+      std::min(last, mBroadcastAt.value_or(last)) + kConfirmationInterval;
+  return std::clamp<Duration>(std::chrono::duration_cast<Duration>(due - aNow),
+                              kShortWatchTimeout, kConfirmationInterval);
 }
 
 bool ViewSynchronizer::ShouldBroadcastConfirmation(TimePoint aNow) {
-  const bool isRecent =
-      mConfirmationBroadcastAt &&
-      aNow - *mConfirmationBroadcastAt < kMinBroadcastInterval;
-  if (!IsConfirmer() || isRecent) {
+  if (mDuty.mRole == ReaderRole::None && !StandsInForConfirmer()) {
     return false;
   }
-  mConfirmationBroadcastAt = aNow;
+  // The confirmer keeps its interval, also while another host stands in for it.
+  const auto& last = IsConfirmer() ? mBroadcastAt : mFleetToldAt;
+  const Duration interval =
+      IsConfirmer() ? kMinBroadcastInterval : kAskHostsAge;
+  if (last && aNow - *last < interval) {
+    return false;
+  }
+  mBroadcastAt = aNow;
+  mFleetToldAt = aNow;
   return true;
 }
 
 TimePoint ViewSynchronizer::NextDue(TimePoint aNow) const {
   TimePoint call = aNow + kWatchTimeout;
   if (!mStoreCallPending) {
-    const TimePoint needed = mConfirmed ? mConfirmed->mAt + mMaxConfirmationAge
-                                        : mStartedAt + kStartGrace;
-    call = mRole == ReaderRole::None ? std::max(mNextCall, needed) : mNextCall;
+    call = mDuty.mRole == ReaderRole::None ? std::max(mNextCall, OwnReadAt())
+                                           : mNextCall;
+  } else if (CanGiveUpWatch()) {
+    call = OwnReadAt();
   }
   TimePoint query = TimePoint::max();
   if (!IsConfirmer() && mConfirmed) {
-    query =
-        std::max<TimePoint>(mConfirmed->mAt + kAskReadersAge, mNextReaderQuery);
+    query = std::max<TimePoint>(mConfirmed->mAt + kAskHostsAge, mNextQuery);
   }
   return std::max(std::min(call, query), aNow);
 }
 
-bool ViewSynchronizer::NeedsOwnRead(TimePoint aNow) const {
-  if (mConfirmed) {
-    return aNow - mConfirmed->mAt > mMaxConfirmationAge;
-  }
-  return aNow - mStartedAt > kStartGrace;
-}
-
 bool ViewSynchronizer::IsStoreFailing() const {
   // One lost call of a host that rarely calls the store says little.
-  const std::uint32_t allowed = mRole == ReaderRole::None ? 1 : 0;
+  const std::uint32_t allowed = mDuty.mRole == ReaderRole::None ? 1 : 0;
   return mFailures > allowed;
 }
 
@@ -230,7 +268,8 @@
     mAnnounced = {aArrivedAfter - *aSummary.mAge, aSummary.mConfirmation,
                   aControlAddress};
   }
-  if (!mPulling) {
+  const bool mayHang = aNow - mPullAt > kMaxPullWait;
+  if (!mPulling || (mayHang && aControlAddress != mPullSource)) {
     actions.emplace_back(PullFrom(aControlAddress, aNow));
     return actions;
   }
@@ -244,8 +283,9 @@
 
 PullView ViewSynchronizer::PullFrom(const std::string& aControlAddress,
                                     TimePoint aNow) {
+  // With several pulls under way, each answer is dated by the first of them.
+  mPullAt = mPulling ? mPullAt : aNow;
   mPulling = true;
-  mPullAt = aNow;
   mPullSource = aControlAddress;
   std::erase(mOtherSources, aControlAddress);
   return PullView{aControlAddress, mView.Era(),
@@ -412,15 +452,13 @@
   if (!mStoreCallPending) {
     return aNow;
   }
-  if (aDelta.mFull) {
-    // Later pages of a read may be older than the answer by its whole length.
-    return mStoreCallAt;
-  }
-  // A watch without changes ended when its wait was over; the answer may have
-  // been on its way for longer.
-  return aDelta.mChanges.empty()
-             ? std::min<TimePoint>(aNow, mStoreCallAt + mWatchWait)
-             : aNow;
+  // A watch without changes ended when its wait was over. Any other answer
+  // shows only what the store held when the call began: the rest of a read may
+  // be older than its end, and a busy host handles the answer some time after
+  // its arrival.
+  const bool hasWaited = !aDelta.mFull && aDelta.mChanges.empty();
+  return hasWaited ? std::min<TimePoint>(aNow, mStoreCallAt + mWatchWait)
+                   : mStoreCallAt;
 }
 
 void ViewSynchronizer::StoreFailed(StoreFailure aFailure, TimePoint aNow) {
@@ -431,9 +469,8 @@
     return;
   }
   ++mFailures;
-  const Duration delay = mRole == ReaderRole::None
-                             ? Duration(kNonReaderRetryDelay)
-                             : Duration(kReaderRetryDelay);
+  const Duration delay =
+      kRetryDelay + kRetryDelay * mDuty.mRank / kRanksPerRetryDelay;
   mNextCall = aNow + delay + Jitter(delay);
 }
 
@@ -442,7 +479,7 @@
   mConfirmed.reset();
   // The next watch is a short one, as its answer is needed soon.
   mAnsweredAt.reset();
-  mStartedAt = aNow - kStartGrace;
+  mStartedAt = aNow - kStartGrace - kMaxTurn;
   mStoreCallPending = false;
   mPulling = false;
   mOtherSources.clear();
@@ -480,13 +517,12 @@
     return;
   }
   mInvalidatedAt.reset();
-  const bool isPresent = mConfirmed && aConfirmation.mId != 0 &&
-                         aConfirmation.mId == mConfirmed->mId;
-  if (isPresent) {
-    mConfirmed->mAt = at;
-  } else if (!mConfirmed || at > mConfirmed->mAt) {
+  if (!mConfirmed || at > mConfirmed->mAt) {
     mConfirmed = ViewConfirmation{at, aConfirmation.mId, aConfirmation.mSource};
   }
+  if (!aConfirmation.mSource.empty()) {
+    mFleetToldAt = std::max(mFleetToldAt.value_or(at), at);
+  }
 }
 
 std::uint64_t ViewSynchronizer::NewConfirmation() {
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -38,10 +38,15 @@
   std::uint64_t mAfter = 0;
 };
 
-/** Action: ask the readers to confirm that the view is complete. */
-struct AskReaders {};
+/** Action: ask a few hosts whether the view is complete. */
+struct AskHosts {};
 
-using ViewAction = std::variant<ReadStore, WatchStore, PullView, AskReaders>;
+/** Action: end the call to the store under way, and its connection, without
+ * waiting for the answer. */
+struct CancelStoreCall {};
+
+using ViewAction =
+    std::variant<ReadStore, WatchStore, PullView, AskHosts, CancelStoreCall>;
 using ViewActions = std::vector<ViewAction>;
 
 /** By what a host knows that its view was complete. */
@@ -67,8 +72,14 @@
  * the store. A few hosts, the readers, watch the store; the other hosts pull
  * changes from hosts that have them. The view is confirmed when the host learns
  * that it included every change at some time. Only an answer of the store is
- * evidence of that: a watch that waits may have lost its connection. A host
- * whose view is not confirmed by others reads the store by itself.
+ * evidence of that: a watch that waits may have lost its connection.
+ *
+ * If nobody confirms the view, the other hosts read the store by themselves,
+ * one after the other by their rank, twice as many in each further step. The
+ * first one that gets an answer confirms the view for all, and goes on doing so
+ * until a reader does. So few hosts call the store, however large the fleet is,
+ * and all have called it after a time that grows with the logarithm of the
+ * fleet.
  *
  * The class takes events, each with its time, and returns the actions to carry
  * out; it performs no input or output. */
@@ -82,7 +93,7 @@
                    WriteOrderReader aReadOrder = {});
 
   /** Returns the actions that are due. */
-  ViewActions Tick(ReaderRole aRole, TimePoint aNow);
+  ViewActions Tick(const ReaderDuty& aDuty, TimePoint aNow);
   /** The time at which Tick() should be called next. */
   [[nodiscard]] TimePoint NextDue(TimePoint aNow) const;
 
@@ -134,8 +145,8 @@
   /** Whether this host should not be chosen as a reader. */
   [[nodiscard]] bool IsStoreFailing() const;
   /** Whether to tell the other hosts that the store has just answered that
-   * nothing has changed. Only the confirmer does, and not after each answer:
-   * the time of a call that returns true is noted. */
+   * nothing has changed: only if they were not told for some time. The time of
+   * a call that returns true is noted. */
   [[nodiscard]] bool ShouldBroadcastConfirmation(TimePoint aNow);
   /** Until when removed entries may have expired only because they could not be
    * renewed while the store was away, or may be missing only because it was
@@ -180,11 +191,20 @@
   [[nodiscard]] TimePoint CompleteAt(const StoreDelta& aDelta,
                                      TimePoint aNow) const;
   [[nodiscard]] bool IsConfirmer() const {
-    return mRole == ReaderRole::Confirmer;
+    return mDuty.mRole == ReaderRole::Confirmer;
   }
   /** How long the next watch may wait for a change. */
   [[nodiscard]] Duration NextWatchWait(TimePoint aNow) const;
-  [[nodiscard]] bool NeedsOwnRead(TimePoint aNow) const;
+  /** When this host reads the store by itself, or gives up a watch that waits,
+   * unless the view is confirmed before. */
+  [[nodiscard]] TimePoint OwnReadAt() const;
+  /** Whether the view was last confirmed by an answer of the store to this
+   * host, which is no reader. */
+  [[nodiscard]] bool StandsInForConfirmer() const;
+  /** Whether the watch under way may be given up for a short one. */
+  [[nodiscard]] bool CanGiveUpWatch() const;
+  /** Asks other hosts if the view was not confirmed for some time. */
+  void AskIfOld(TimePoint aNow, ViewActions& aActions);
   [[nodiscard]] Duration Jitter(Duration aMax);
   /** Draws the identification of an answer of the store. */
   [[nodiscard]] std::uint64_t NewConfirmation();
@@ -194,9 +214,6 @@
   TimePoint mStartedAt;
   std::optional<ViewConfirmation> mConfirmed;
   ConfirmationHistory mConfirmations;
-  /** Age of the last confirmation from which this host reads the store by
-   * itself. */
-  Duration mMaxConfirmationAge;
   std::optional<TimePoint> mInvalidatedAt;
   /** Judges removals. Unlike mConfirmed, it also counts what others knew
    * before this host started or was suspended, as that is about the store and
@@ -207,11 +224,13 @@
   std::optional<TimePoint> mCompleteAt;
   /** See UsableUntil(). */
   TimePoint mUsableUntil;
-  /** When ShouldBroadcastConfirmation() last returned true. */
-  std::optional<TimePoint> mConfirmationBroadcastAt;
+  /** When this host last told the others of a confirmation, and when it or
+   * another host did. */
+  std::optional<TimePoint> mBroadcastAt;
+  std::optional<TimePoint> mFleetToldAt;
   /** Whether removals were applied that may have been expiries. */
   bool mHasUnconfirmedRemovals = false;
-  ReaderRole mRole = ReaderRole::None;
+  ReaderDuty mDuty;
   /** Whether a read or a watch of the store is under way, and since when. */
   bool mStoreCallPending = false;
   TimePoint mStoreCallAt;
@@ -235,7 +254,9 @@
   std::uint64_t mAnnouncedNewest = 0;
   std::uint64_t mAnnouncedEra = 0;
   ViewConfirmation mAnnounced;
-  TimePoint mNextReaderQuery;
+  /** When other hosts are asked next, and the interval after that. */
+  TimePoint mNextQuery;
+  Duration mQueryInterval{0};
   /** Digests of the lost changes that were pulled in this era. */
   std::set<std::uint64_t> mPulledLost;
   /** When the removals that the store has lost are dropped. */
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -25,10 +25,8 @@
  * kMaxIterationInterval and this. */
 constexpr milliseconds kMaxLateness{200};
 
-/** The socket is read at least at this interval. Datagrams count as having
- * arrived when it was last found empty, so this bounds by how much a view is
- * taken for older than it is. */
-constexpr milliseconds kMaxReadInterval{100};
+/** Hosts that are asked at a time whether the view is complete. */
+constexpr std::size_t kAskedHosts = 2;
 
 /** Datagrams that are read before one of them is handled. */
 constexpr std::size_t kMaxReads = 512;
@@ -179,7 +177,7 @@
   NoteDroppedDatagrams();
   mGossip.SetStoreFailing(mSynchronizer.IsStoreFailing());
   Send(mGossip.Tick(now));
-  Perform(mSynchronizer.Tick(RoleOf(mGossip.Self(), Readers()), now));
+  Perform(mSynchronizer.Tick(DutyOf(mGossip.Self(), RankedReaders()), now));
   const auto expired = mSynchronizer.ExpireLostRemovals(now);
   if (!expired.empty()) {
     ApplyChanges(expired, "expired_removals");
@@ -247,22 +245,26 @@
 void GatewayControl::HandleSuspension(Duration aGap) {
   const TimePoint now = mClock.Now();
   Log(LogLevel::Warning, "suspended", {{"gap_us", aGap.count()}});
+  CancelCallToStore();
+  mSynchronizer.Invalidate(now);
+  PublishViewFreshness();
+  Send(mGossip.ResumeAfterSuspension(ReadersOf(RankedReaders()), now));
+}
+
+void GatewayControl::CancelCallToStore() {
   if (mStoreCall != 0) {
     mClient.Cancel(mStoreCall);
     mStoreCall = 0;
   }
-  mSynchronizer.Invalidate(now);
-  PublishViewFreshness();
-  Send(mGossip.ResumeAfterSuspension(Readers(), now));
 }
 
-const std::vector<std::string>& GatewayControl::Readers() {
+const std::vector<std::string>& GatewayControl::RankedReaders() {
   const std::pair known(mGossip.Generation(), mGossip.Self().mVersion);
-  if (mReadersChosenFor != known) {
-    mReadersChosenFor = known;
-    mReaders = ChooseReaders(mGossip.Self(), mGossip.Reachable());
+  if (mReadersRankedFor != known) {
+    mReadersRankedFor = known;
+    mRankedReaders = RankReaders(mGossip.Self(), mGossip.Reachable());
   }
-  return mReaders;
+  return mRankedReaders;
 }
 
 void GatewayControl::Send(const Datagrams& aDatagrams) {
@@ -383,8 +385,10 @@
       Watch(*watch);
     } else if (const auto* const pull = std::get_if<PullView>(&action)) {
       Pull(*pull);
+    } else if (std::holds_alternative<CancelStoreCall>(action)) {
+      CancelCallToStore();
     } else {
-      Send(mGossip.PingMembers(Readers(), mClock.Now()));
+      Send(mGossip.PingSome(kAskedHosts, mClock.Now()));
     }
   }
 }
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -84,9 +84,9 @@
   /** Invalidates the view and resets pending calls and pings.
    * @param aGap time that passed without an iteration. */
   void HandleSuspension(Duration aGap);
-  /** Names of the hosts that should watch the store, chosen among those that
-   * are known here. */
-  const std::vector<std::string>& Readers();
+  /** Names of the hosts in the order in which they should read the store, as
+   * far as they are known here. */
+  const std::vector<std::string>& RankedReaders();
   void Send(const Datagrams& aDatagrams);
   /** Reads datagrams whenever some arrive. */
   void AwaitDatagrams();
@@ -100,6 +100,7 @@
   /** @param aArrivedAfter a time before the message arrived. */
   void HandleMessage(const GossipMessage& aMessage, TimePoint aArrivedAfter);
   void Perform(const ViewActions& aActions);
+  void CancelCallToStore();
   /** Reads the next page of the whole store.
    * @param aSoFar contents of the pages before.
    * @param aAfterKey last key of those pages; empty for the first page. */
@@ -152,10 +153,10 @@
   EndpointRegistry mRegistry;
   std::shared_ptr<const RouteTable> mRoutes;
   MemberPublication mMemberPublication;
-  std::vector<std::string> mReaders;
+  std::vector<std::string> mRankedReaders;
   /** Generation of the member list and version of this host's own record from
-   * which mReaders was computed. */
-  std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersChosenFor;
+   * which mRankedReaders was computed. */
+  std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersRankedFor;
   bool mWasViewFresh = false;
   /** Whether a view has been passed to the traffic thread. */
   bool mHasPublishedView = false;
--- a/servers/gateway_settings.h
+++ b/servers/gateway_settings.h
@@ -15,6 +15,11 @@
 /** Maximum time between two iterations of a thread's event loop. */
 constexpr std::chrono::milliseconds kMaxIterationInterval{400};
 
+/** The control thread reads its socket for datagrams at least at this interval.
+ * Datagrams count as having arrived when the socket was last found empty, so
+ * this bounds by how much a view is taken for older than it is. */
+constexpr std::chrono::milliseconds kMaxReadInterval{100};
+
 /** A longer gap between two iterations means that the process was suspended. */
 constexpr std::chrono::milliseconds kSuspensionThreshold{1200};
 
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -21,6 +21,7 @@
 constexpr milliseconds kPullTimeout{600};
 constexpr milliseconds kMaxIterationInterval{100};
 constexpr std::size_t kSeeds = 3;
+constexpr std::size_t kAskedHosts = 2;
 
 /** Bytes of a transfer between hosts in addition to its changes. */
 constexpr std::size_t kBytesPerTransfer = 300;
@@ -106,8 +107,8 @@
   host.mPull = 0;
   host.mTasks.clear();
   host.mSocket.clear();
-  host.mInbox = DatagramInbox<GossipMessage>(mEvents.Now());
-  host.mReadersChosenFor.reset();
+  host.mInbox = DatagramInbox<MessagePtr>(mEvents.Now());
+  host.mRankedFor.reset();
   ++host.mEpoch;
   Queue(aHost, [this, aHost] { RunIteration(aHost); });
 }
@@ -150,7 +151,7 @@
     ReadDatagrams(aHost);
     Spend(aHost, kReceiveCost);
     const auto next = host.mInbox.Take();
-    HandleMessage(aHost, next->mDatagram, next->mArrivedAfter);
+    HandleMessage(aHost, *next->mDatagram, next->mArrivedAfter);
   } else {
     const auto task = std::move(host.mTasks.front());
     host.mTasks.pop_front();
@@ -165,7 +166,7 @@
 
 void GossipFleet::ReadDatagrams(std::size_t aHost) {
   Host& host = mHosts[aHost];
-  for (GossipMessage& text : host.mSocket) {
+  for (MessagePtr& text : host.mSocket) {
     Spend(aHost, kReadCost);
     host.mInbox.Add(std::move(text));
   }
@@ -193,16 +194,16 @@
   return host.mLinkBusyUntil;
 }
 
-const std::vector<std::string>& GossipFleet::ReadersKnownTo(std::size_t aHost) {
+const std::vector<std::string>& GossipFleet::RankingKnownTo(std::size_t aHost) {
   Host& host = mHosts[aHost];
   const std::pair known(host.mGossip->Generation(),
                         host.mGossip->Self().mVersion);
-  if (host.mReadersChosenFor != known) {
-    host.mReadersChosenFor = known;
-    host.mReaders =
-        ChooseReaders(host.mGossip->Self(), host.mGossip->Reachable());
+  if (host.mRankedFor != known) {
+    host.mRankedFor = known;
+    host.mRanking =
+        RankReaders(host.mGossip->Self(), host.mGossip->Reachable());
   }
-  return host.mReaders;
+  return host.mRanking;
 }
 
 void GossipFleet::Run(Duration aTime) {
@@ -309,8 +310,8 @@
     host.mSynchronizer->Invalidate(mEvents.Now());
     host.mPull = 0;
     host.mTasks.clear();
-    Send(aHost, host.mGossip->ResumeAfterSuspension(ReadersKnownTo(aHost),
-                                                    mEvents.Now()));
+    Send(aHost, host.mGossip->ResumeAfterSuspension(
+                    ReadersOf(RankingKnownTo(aHost)), mEvents.Now()));
     RunIteration(aHost);
   }
 }
@@ -353,6 +354,11 @@
   return host.mAlive && !host.mSuspended && host.mEpoch == aEpoch;
 }
 
+bool GossipFleet::IsCurrent(const PendingRead& aRead) const {
+  return IsUp(aRead.mHost, aRead.mEpoch) &&
+         mHosts[aRead.mHost].mStoreEpoch == aRead.mStoreEpoch;
+}
+
 bool GossipFleet::IsConnected(std::size_t aFrom, std::size_t aTo) const {
   const Host& to = mHosts[aTo];
   const auto isParted = [this](std::size_t aHost) {
@@ -369,8 +375,8 @@
   ReadDatagrams(aHost);
   host.mGossip->SetStoreFailing(host.mSynchronizer->IsStoreFailing());
   Send(aHost, host.mGossip->Tick(now));
-  const ReaderRole role = RoleOf(host.mGossip->Self(), ReadersKnownTo(aHost));
-  Act(aHost, host.mSynchronizer->Tick(role, now));
+  const ReaderDuty duty = DutyOf(host.mGossip->Self(), RankingKnownTo(aHost));
+  Act(aHost, host.mSynchronizer->Tick(duty, now));
   ApplyEndpoints(aHost, host.mSynchronizer->ExpireLostRemovals(now));
   host.mRegistry.Tick(host.mSynchronizer->ExpiriesUntil(now), now);
   PublishMembers(aHost);
@@ -405,19 +411,22 @@
         Transmit(aFrom, kBytesPerDatagram + kBytesPerRecord * records);
     const std::size_t to = IndexOf(datagram.mAddress);
     mEvents.At(sent + kHostDelay,
-               [this, aFrom, to, text] { Deliver(aFrom, to, text); });
+               [this, aFrom, to,
+                message = std::make_shared<const GossipMessage>(text)] {
+                 Deliver(aFrom, to, message);
+               });
   }
 }
 
 void GossipFleet::Deliver(std::size_t aFrom, std::size_t aTo,
-                          const GossipMessage& aText) {
+                          const MessagePtr& aText) {
   Host& host = mHosts[aTo];
   if (!IsConnected(aFrom, aTo)) {
     return;
   }
   ++host.mReceived;
   if (host.mResources.mCores == 0) {
-    HandleMessage(aTo, aText, mEvents.Now());
+    HandleMessage(aTo, *aText, mEvents.Now());
     return;
   }
   if (host.mSocket.size() < kSocketDatagrams) {
@@ -472,15 +481,25 @@
   for (const ViewAction& action : aActions) {
     if (const auto* const pull = std::get_if<PullView>(&action)) {
       Pull(aHost, *pull);
-    } else if (std::holds_alternative<AskReaders>(action)) {
-      Send(aHost, mHosts[aHost].mGossip->PingMembers(ReadersKnownTo(aHost),
-                                                     mEvents.Now()));
+    } else if (std::holds_alternative<AskHosts>(action)) {
+      Send(aHost, mHosts[aHost].mGossip->PingSome(kAskedHosts, mEvents.Now()));
+    } else if (std::holds_alternative<CancelStoreCall>(action)) {
+      CancelStoreCalls(aHost);
     } else {
       CallStore(aHost, action);
     }
   }
 }
 
+void GossipFleet::CancelStoreCalls(std::size_t aHost) {
+  Host& host = mHosts[aHost];
+  host.mCallsStore = false;
+  ++host.mStoreEpoch;
+  std::erase_if(mPendingReads, [aHost](const PendingRead& aOne) {
+    return aOne.mHost == aHost;
+  });
+}
+
 void GossipFleet::CallStore(std::size_t aHost, const ViewAction& aAction) {
   ++mStoreCalls;
   Spend(aHost, kCallCost);
@@ -495,7 +514,7 @@
                                    ? Duration(kStoreTimeout)
                                    : Duration(watch->mWait + kWatchSlack);
     const Duration timeout = isSilent ? lostAfter : mStoreDelay;
-    const PendingRead lost{aHost, epoch, 0, 0};
+    const PendingRead lost{aHost, epoch, 0, 0, host.mStoreEpoch};
     mEvents.After(timeout,
                   [this, lost] { StoreFailed(lost, StoreFailure::NoAnswer); });
     return;
@@ -503,21 +522,22 @@
   const bool hasHistory = watch == nullptr || (watch->mAfter >= mHistoryFrom &&
                                                watch->mAfter <= mRevision);
   if (!hasHistory) {
-    const PendingRead gone{aHost, epoch, 0, 0};
+    const PendingRead gone{aHost, epoch, 0, 0, host.mStoreEpoch};
     mEvents.After(mStoreDelay, [this, gone] {
       StoreFailed(gone, StoreFailure::HistoryUnavailable);
     });
     return;
   }
   if (watch != nullptr && mRevision <= watch->mAfter) {
-    const PendingRead waiting{aHost, epoch, watch->mAfter, ++mLastWatch};
+    const PendingRead waiting{aHost, epoch, watch->mAfter, ++mLastWatch,
+                              host.mStoreEpoch};
     host.mWatch = waiting.mNumber;
     mPendingReads.push_back(waiting);
     mEvents.After(watch->mWait, [this, waiting] { EndWatch(waiting); });
     return;
   }
   const PendingRead read{aHost, epoch, watch == nullptr ? 0 : watch->mAfter,
-                         ++mLastWatch};
+                         ++mLastWatch, host.mStoreEpoch};
   mEvents.After(mStoreDelay, [this, read] { AnswerWatch(read); });
 }
 
@@ -540,7 +560,7 @@
 
 void GossipFleet::AnswerWatch(const PendingRead& aRead) {
   Host& host = mHosts[aRead.mHost];
-  if (!IsUp(aRead.mHost, aRead.mEpoch)) {
+  if (!IsCurrent(aRead)) {
     return;
   }
   if (mStoreDown || host.mStoreFault != StoreFault::None) {
@@ -552,6 +572,9 @@
   }
   host.mCallsStore = false;
   Queue(aRead.mHost, [this, aRead, delta = StoreSince(aRead.mAfter)] {
+    if (!IsCurrent(aRead)) {
+      return;
+    }
     const auto changes =
         mHosts[aRead.mHost].mSynchronizer->StoreAnswered(delta, mEvents.Now());
     ViewUpdated(aRead.mHost, changes, true);
@@ -559,11 +582,14 @@
 }
 
 void GossipFleet::StoreFailed(const PendingRead& aRead, StoreFailure aFailure) {
-  if (!IsUp(aRead.mHost, aRead.mEpoch)) {
+  if (!IsCurrent(aRead)) {
     return;
   }
   mHosts[aRead.mHost].mCallsStore = false;
   Queue(aRead.mHost, [this, aRead, aFailure] {
+    if (!IsCurrent(aRead)) {
+      return;
+    }
     mHosts[aRead.mHost].mSynchronizer->StoreFailed(aFailure, mEvents.Now());
     RunIteration(aRead.mHost);
   });
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -129,6 +129,8 @@
      * earlier events are ignored. */
     std::uint64_t mEpoch = 0;
     bool mCallsStore = false;
+    /** Increases when the call under way is cancelled. */
+    std::uint64_t mStoreEpoch = 0;
     /** Number of its latest watch of the store. */
     std::uint64_t mWatch = 0;
     TimePoint mNextIterationAt;
@@ -138,18 +140,18 @@
     std::uint64_t mPull = 0;
     /** Events that wait for the processor. */
     std::deque<std::function<void()>> mTasks;
-    std::deque<GossipMessage> mSocket;
-    DatagramInbox<GossipMessage> mInbox{TimePoint{}};
+    std::deque<std::shared_ptr<const GossipMessage>> mSocket;
+    DatagramInbox<std::shared_ptr<const GossipMessage>> mInbox{TimePoint{}};
     /** Whether the processor is busy, and whether the socket is next. */
     bool mIsBusy = false;
     bool mIsSocketNext = false;
     /** Time that the present event has taken so far. */
     Duration mSpent{0};
     std::uint64_t mReceived = 0;
-    /** The readers that it knows, and the generation of its member list and its
-     * own version from which they were chosen. */
-    std::vector<std::string> mReaders;
-    std::optional<std::pair<std::uint64_t, std::uint32_t>> mReadersChosenFor;
+    /** The order of the readers as it knows them, and the generation of its
+     * member list and its own version from which it was computed. */
+    std::vector<std::string> mRanking;
+    std::optional<std::pair<std::uint64_t, std::uint32_t>> mRankedFor;
     MemberPublication mMemberPublication;
   };
   /** A read or watch of the store that is not answered yet. */
@@ -158,8 +160,12 @@
     std::uint64_t mEpoch = 0;
     std::uint64_t mAfter = 0;
     std::uint64_t mNumber = 0;
+    std::uint64_t mStoreEpoch = 0;
   };
 
+  /** Whether a host still waits for the answer to a call. */
+  [[nodiscard]] bool IsCurrent(const PendingRead& aRead) const;
+  void CancelStoreCalls(std::size_t aHost);
   /** Whether messages from one running host reach another. */
   [[nodiscard]] bool IsConnected(std::size_t aFrom, std::size_t aTo) const;
   static std::string NameOf(std::size_t aHost);
@@ -175,7 +181,10 @@
   void RunIteration(std::size_t aHost);
   void Schedule(std::size_t aHost);
   void Send(std::size_t aFrom, const papayawheel::Datagrams& aDatagrams);
-  void Deliver(std::size_t aFrom, std::size_t aTo, const GossipMessage& aText);
+  /** Messages are shared, as copying them would take most of the time of a test
+   * with many hosts. */
+  using MessagePtr = std::shared_ptr<const GossipMessage>;
+  void Deliver(std::size_t aFrom, std::size_t aTo, const MessagePtr& aText);
   void HandleMessage(std::size_t aHost, const GossipMessage& aText,
                      TimePoint aArrivedAfter);
   /** Moves the datagrams that wait in the socket to the inbox. */
@@ -189,7 +198,7 @@
   void Spend(std::size_t aHost, Duration aCoreTime);
   /** The time at which some bytes that a host sends now have left its link. */
   TimePoint Transmit(std::size_t aHost, std::size_t aBytes);
-  const std::vector<std::string>& ReadersKnownTo(std::size_t aHost);
+  const std::vector<std::string>& RankingKnownTo(std::size_t aHost);
   /** Passes changed members and loads on within the host, where hosts for
    * callers are selected by them. */
   void PublishMembers(std::size_t aHost);
--- a/tests/core/test_front_selection.cpp
+++ b/tests/core/test_front_selection.cpp
@@ -312,7 +312,7 @@
     std::erase_if(others, [&self](const MemberRecord& aOther) {
       return aOther.mName == self.mName;
     });
-    if (RoleOf(self, ChooseReaders(self, others)) != ReaderRole::None) {
+    if (DutyOf(self, RankReaders(self, others)).mRole != ReaderRole::None) {
       readers.push_back(self.mName);
       for (const std::string& other : readers) {
         const bool sameCentre = std::stoi(other.substr(1)) % 4 ==
@@ -331,7 +331,7 @@
                                    [&failing](const MemberRecord& aHost) {
                                      return aHost.mName == failing;
                                    });
-    CHECK(RoleOf(*self, ChooseReaders(*self, hosts)) == ReaderRole::None);
+    CHECK(DutyOf(*self, RankReaders(*self, hosts)).mRole == ReaderRole::None);
   }
 }
 
--- a/tests/core/test_restored_store.cpp
+++ b/tests/core/test_restored_store.cpp
@@ -275,10 +275,10 @@
   for (const Case& one : cases) {
     CAPTURE(one.mWhat);
     ViewSynchronizer synchronizer(start - seconds(2), 1, false, ReadOrder);
-    synchronizer.Tick(ReaderRole::Watcher, start - seconds(1));
+    synchronizer.Tick({ReaderRole::Watcher}, start - seconds(1));
     synchronizer.StoreAnswered(ReadOf(2, 5, {{"key", 4, "3"}}),
                                start - seconds(1));
-    synchronizer.Tick(ReaderRole::Watcher, start);
+    synchronizer.Tick({ReaderRole::Watcher}, start);
     synchronizer.StoreAnswered(one.mAnswer, start);
     const bool isConfirmed =
         *synchronizer.Summary(start).mAge < milliseconds(500);
@@ -293,9 +293,9 @@
   const TimePoint now{std::chrono::hours(1)};
   ViewSynchronizer before(now - seconds(2), 1, false, ReadOrder);
   ViewSynchronizer after(now - seconds(2), 2, false, ReadOrder);
-  before.Tick(ReaderRole::Watcher, now);
+  before.Tick({ReaderRole::Watcher}, now);
   before.StoreAnswered(ReadOf(1, 9, {{"key", 9, "9"}, {"other", 4, "1"}}), now);
-  after.Tick(ReaderRole::Watcher, now);
+  after.Tick({ReaderRole::Watcher}, now);
   after.StoreAnswered(ReadOf(2, 9, {{"key", 3, "2"}, {"new", 9, "1"}}), now);
   CHECK(after.NotePeerSummary("before", before.Summary(now), now, now).empty());
   const ViewActions actions =
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -15,7 +15,7 @@
 /** Returns the synchronizer of a reader that has read the store. */
 ViewSynchronizer MakeReader(TimePoint aNow, std::uint32_t aSeed = 1) {
   ViewSynchronizer synchronizer(kStart - seconds(1), aSeed, false);
-  synchronizer.Tick(ReaderRole::Watcher, aNow);
+  synchronizer.Tick({ReaderRole::Watcher}, aNow);
   synchronizer.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}}}, aNow);
   return synchronizer;
 }
@@ -34,11 +34,11 @@
     "view synchronizer: a store that failed is retried with short calls") {
   ViewSynchronizer synchronizer = MakeReader(kStart);
   TimePoint now = kStart + seconds(1);
-  REQUIRE(WatchOf(synchronizer.Tick(ReaderRole::Watcher, now)));
+  REQUIRE(WatchOf(synchronizer.Tick({ReaderRole::Watcher}, now)));
   for (int failure = 0; failure < 5; ++failure) {
     synchronizer.StoreFailed(StoreFailure::NoAnswer, now);
     now += seconds(1);
-    const auto watch = WatchOf(synchronizer.Tick(ReaderRole::Watcher, now));
+    const auto watch = WatchOf(synchronizer.Tick({ReaderRole::Watcher}, now));
     REQUIRE(watch);
     // A lost call blocks the next one until it ends, so only short calls detect
     // a recovered store soon.
@@ -46,7 +46,7 @@
     CHECK(watch->mAfter == 5);
   }
   synchronizer.StoreAnswered(StoreDelta{false, 6, {}}, now);
-  CHECK(WatchOf(synchronizer.Tick(ReaderRole::Watcher, now))->mWait >=
+  CHECK(WatchOf(synchronizer.Tick({ReaderRole::Watcher}, now))->mWait >=
         seconds(2));
 }
 
@@ -54,11 +54,11 @@
     "view synchronizer: a store without the requested history is read in "
     "full") {
   ViewSynchronizer synchronizer = MakeReader(kStart);
-  synchronizer.Tick(ReaderRole::Confirmer, kStart + seconds(1));
+  synchronizer.Tick({ReaderRole::Confirmer}, kStart + seconds(1));
   synchronizer.StoreFailed(StoreFailure::HistoryUnavailable,
                            kStart + seconds(1));
   const ViewActions actions =
-      synchronizer.Tick(ReaderRole::Confirmer, kStart + seconds(2));
+      synchronizer.Tick({ReaderRole::Confirmer}, kStart + seconds(2));
   REQUIRE(actions.size() == 1);
   CHECK(std::holds_alternative<ReadStore>(actions.front()));
 }
@@ -173,12 +173,12 @@
 TEST_CASE(
     "view synchronizer: a removal that a new host never saw reaches others") {
   ViewSynchronizer other(kStart - seconds(1), 2, false);
-  other.Tick(ReaderRole::Watcher, kStart);
+  other.Tick({ReaderRole::Watcher}, kStart);
   other.StoreAnswered(
       StoreDelta{true, 4, {{"removed", 3, "x"}, {"key", 4, "x"}}}, kStart);
   ViewSynchronizer started(kStart, 3, false);
   const TimePoint now = kStart + seconds(1);
-  started.Tick(ReaderRole::Watcher, now);
+  started.Tick({ReaderRole::Watcher}, now);
   started.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}}}, now);
   const ViewActions actions =
       other.NotePeerSummary("started", started.Summary(now), now, now);
@@ -200,10 +200,10 @@
   ViewSynchronizer reader = MakeReader(kStart);
   ViewSynchronizer other = MakeReader(kStart, 2);
   TimePoint now = kStart + seconds(1);
-  reader.Tick(ReaderRole::Watcher, now);
+  reader.Tick({ReaderRole::Watcher}, now);
   reader.StoreFailed(StoreFailure::HistoryUnavailable, now);
   now += seconds(1);
-  reader.Tick(ReaderRole::Watcher, now);
+  reader.Tick({ReaderRole::Watcher}, now);
   // The first page covers revision 5. Then "key" changes at 6 and "late", which
   // is on the second page, at 7.
   reader.StoreAnswered(StoreDelta{true, 5, {{"key", 4, "x"}, {"late", 7, "z"}}},
@@ -219,7 +219,7 @@
   };
   pullFromReader();
   now += seconds(1);
-  REQUIRE(WatchOf(reader.Tick(ReaderRole::Watcher, now)));
+  REQUIRE(WatchOf(reader.Tick({ReaderRole::Watcher}, now)));
   reader.StoreAnswered(
       StoreDelta{false, 7, {{"key", 6, "y"}, {"late", 7, "z"}}}, now);
   pullFromReader();
