--- a/core/view/reader_ranking.cpp
+++ b/core/view/reader_ranking.cpp
@@ -49,6 +49,7 @@
     add(aSelf);
   }
   std::vector<const MemberRecord*> ranked;
+  ranked.reserve(names.size());
   for (const std::string& name : RankByRendezvous(kSubject, names)) {
     ranked.push_back(hosts.at(name));
   }
@@ -58,6 +59,7 @@
                    });
   SpreadReaders(ranked);
   std::vector<std::string> result;
+  result.reserve(ranked.size());
   for (const MemberRecord* host : ranked) {
     result.push_back(host->mName);
   }
