Gossip: a socket class of its own; pulls under way are counted

GatewayControl had grown by the reading of datagrams; GossipSocket now sends, reads, dates and drops them. Behaviour is the same.

Found by reading: with several pulls under way, the end of one counted for all, so that an answer could be dated by a later pull than its own, by 0.6 s at most. They are counted now. view synchronizer: a pull that hangs does not keep others waiting.

--- a/core/view/view_synchronizer.cpp
+++ b/core/view/view_synchronizer.cpp
@@ -269,7 +269,7 @@
                   aControlAddress};
   }
   const bool mayHang = aNow - mPullAt > kMaxPullWait;
-  if (!mPulling || (mayHang && aControlAddress != mPullSource)) {
+  if (mPulls == 0 || (mayHang && aControlAddress != mPullSource)) {
     actions.emplace_back(PullFrom(aControlAddress, aNow));
     return actions;
   }
@@ -284,8 +284,8 @@
 PullView ViewSynchronizer::PullFrom(const std::string& aControlAddress,
                                     TimePoint aNow) {
   // With several pulls under way, each answer is dated by the first of them.
-  mPullAt = mPulling ? mPullAt : aNow;
-  mPulling = true;
+  mPullAt = mPulls > 0 ? mPullAt : aNow;
+  ++mPulls;
   mPullSource = aControlAddress;
   std::erase(mOtherSources, aControlAddress);
   return PullView{aControlAddress, mView.Era(),
@@ -329,7 +329,7 @@
 
 ViewActions ViewSynchronizer::PullFromNextSource(TimePoint aNow) {
   ViewActions actions;
-  if (!mPulling && !mOtherSources.empty()) {
+  if (mPulls == 0 && !mOtherSources.empty()) {
     const std::string source = mOtherSources.back();
     actions.emplace_back(PullFrom(source, aNow));
   }
@@ -338,7 +338,8 @@
 
 std::vector<StoreChange> ViewSynchronizer::FinishPull(
     const std::optional<ViewTransfer>& aTransfer, TimePoint aNow) {
-  mPulling = false;
+  // After a suspension, pulls from before it may end as well.
+  mPulls -= std::min<std::size_t>(mPulls, 1);
   if (!aTransfer || (!aTransfer->mDelta.mFull && !mView.IsLoaded())) {
     return {};
   }
@@ -481,7 +482,7 @@
   mAnsweredAt.reset();
   mStartedAt = aNow - kStartGrace - kMaxTurn;
   mStoreCallPending = false;
-  mPulling = false;
+  mPulls = 0;
   mOtherSources.clear();
   mNextCall = aNow + Jitter(kResumeReadSpread);
 }
--- a/core/view/view_synchronizer.h
+++ b/core/view/view_synchronizer.h
@@ -241,7 +241,8 @@
   /** When the store last answered this host; empty if it never has. */
   std::optional<TimePoint> mAnsweredAt;
   TimePoint mNextCall;
-  bool mPulling = false;
+  /** Pulls under way, and when the first of them was sent. */
+  std::size_t mPulls = 0;
   TimePoint mPullAt;
   /** The host that the last pull was sent to. */
   std::string mPullSource;
--- a/servers/gateway_control.cpp
+++ b/servers/gateway_control.cpp
@@ -28,12 +28,6 @@
 /** Hosts that are asked at a time whether the view is complete. */
 constexpr std::size_t kAskedHosts = 2;
 
-/** Datagrams that are read before one of them is handled. */
-constexpr std::size_t kMaxReads = 512;
-
-/** Interval of the log lines about dropped datagrams. */
-constexpr milliseconds kMinDropLogInterval{1000};
-
 /** The beginning of the store's period is logged again if it has shifted by
  * this or more. Other hosts' ages differ a little by their way here. */
 constexpr milliseconds kMinLoggedShift{100};
@@ -83,7 +77,10 @@
     : mSettings(aSettings),
       mClock(aClock),
       mHooks(std::move(aHooks)),
-      mInbox(aClock.Now()),
+      mSocket(mContext, aClock, mCounts,
+              [this](const std::string& aDatagram, TimePoint aArrivedAfter) {
+                HandleDatagram(aDatagram, aArrivedAfter);
+              }),
       mGossip(DescribeSelf(aSettings, aClock), SeedOf(aSettings)),
       mSynchronizer(aClock.Now(), SeedOf(aSettings), aSettings.mIsFirstStart,
                     platform::ReadWriteOrder),
@@ -103,23 +100,11 @@
     mLastError = mServer->LastError();
     return false;
   }
-  asio::error_code error;
-  const asio::ip::udp::endpoint local(
-      asio::ip::make_address_v4(address.mIp, error), mSettings.mGossipPort);
-  mSocket.open(asio::ip::udp::v4(), error);
-  if (!error) {
-    mSocket.bind(local, error);
-  }
-  if (!error) {
-    mSocket.non_blocking(true, error);
-  }
-  if (error) {
-    mLastError = fmt::format("cannot open gossip port {}: {}",
-                             mSettings.mGossipPort, error.message());
+  if (!mSocket.Open(address.mIp, mSettings.mGossipPort)) {
+    mLastError = mSocket.LastError();
     return false;
   }
   SetSeeds(mSettings.mSeeds);
-  AwaitDatagrams();
   RunIteration();
   return true;
 }
@@ -131,14 +116,14 @@
 void GatewayControl::Drain() {
   asio::post(mContext, [this] {
     mGossip.SetState(MemberState::Draining);
-    Send(mGossip.Announce());
+    mSocket.Send(mGossip.Announce());
     RunIteration();
   });
 }
 
 void GatewayControl::BroadcastCrashRecords(std::vector<CrashRecord> aCrashes) {
   asio::post(mContext, [this, crashes = std::move(aCrashes)] {
-    Send(mGossip.BroadcastCrashes(crashes, mClock.Now()));
+    mSocket.Send(mGossip.BroadcastCrashes(crashes, mClock.Now()));
   });
 }
 
@@ -147,12 +132,14 @@
 }
 
 void GatewayControl::SetHostLoad(const HostLoad& aLoad) {
-  asio::post(mContext,
-             [this, aLoad] { Send(mGossip.SetLoad(aLoad, mClock.Now())); });
+  asio::post(mContext, [this, aLoad] {
+    mSocket.Send(mGossip.SetLoad(aLoad, mClock.Now()));
+  });
 }
 
 void GatewayControl::SetReach(const ServiceReach& aReach) {
-  asio::post(mContext, [this, aReach] { Send(mGossip.SetReach(aReach)); });
+  asio::post(mContext,
+             [this, aReach] { mSocket.Send(mGossip.SetReach(aReach)); });
 }
 
 void GatewayControl::SetSeeds(std::vector<std::string> aSeeds) {
@@ -173,10 +160,9 @@
   if (gap > kSuspensionThreshold) {
     HandleSuspension(gap);
   }
-  ReadDatagrams();
-  NoteDroppedDatagrams();
+  mSocket.Read();
   mGossip.SetStoreFailing(mSynchronizer.IsStoreFailing());
-  Send(mGossip.Tick(now));
+  mSocket.Send(mGossip.Tick(now));
   Perform(mSynchronizer.Tick(DutyOf(mGossip.Self(), RankedReaders()), now));
   const auto expired = mSynchronizer.ExpireLostRemovals(now);
   if (!expired.empty()) {
@@ -248,7 +234,7 @@
   CancelCallToStore();
   mSynchronizer.Invalidate(now);
   PublishViewFreshness();
-  Send(mGossip.ResumeAfterSuspension(ReadersOf(RankedReaders()), now));
+  mSocket.Send(mGossip.ResumeAfterSuspension(ReadersOf(RankedReaders()), now));
 }
 
 void GatewayControl::CancelCallToStore() {
@@ -267,89 +253,13 @@
   return mRankedReaders;
 }
 
-void GatewayControl::Send(const Datagrams& aDatagrams) {
-  // A broadcast sends one message to many hosts, which is encoded once.
-  const GossipMessage* encoded = nullptr;
-  std::string text;
-  for (const Datagram& datagram : aDatagrams) {
-    const auto address = ParseAddress(datagram.mAddress);
-    asio::error_code error;
-    const auto ip =
-        asio::ip::make_address_v4(address ? address->mIp : "", error);
-    if (!address || error) {
-      continue;
-    }
-    if (encoded == nullptr || *encoded != datagram.mMessage) {
-      encoded = &datagram.mMessage;
-      text = EncodeGossip(datagram.mMessage);
-    }
-    ++mCounts.mDatagramsSent;
-    // Errors are ignored: gossip tolerates lost datagrams.
-    mSocket.send_to(asio::buffer(text),
-                    asio::ip::udp::endpoint(ip, address->mPort), 0, error);
-  }
-}
-
-void GatewayControl::AwaitDatagrams() {
-  mSocket.async_wait(asio::ip::udp::socket::wait_read,
-                     [this](asio::error_code aError) {
-                       if (aError == asio::error::operation_aborted) {
-                         return;
-                       }
-                       ReadDatagrams();
-                       AwaitDatagrams();
-                     });
-}
-
-void GatewayControl::ReadDatagrams() {
-  for (std::size_t read = 0; read < kMaxReads; ++read) {
-    const TimePoint before = mClock.Now();
-    asio::error_code error;
-    const std::size_t size = mSocket.receive_from(asio::buffer(mDatagram),
-                                                  mRemoteEndpoint, 0, error);
-    if (error == asio::error::would_block) {
-      mInbox.NoteSocketEmpty(before);
-      break;
-    }
-    if (!error) {
-      mInbox.Add(std::string(mDatagram.data(), size));
-    }
-  }
-  if (!mInbox.IsEmpty() && !mHandlesDatagrams) {
-    mHandlesDatagrams = true;
-    asio::post(mContext, [this] { HandleNextDatagram(); });
-  }
-}
-
-void GatewayControl::HandleNextDatagram() {
-  mHandlesDatagrams = false;
-  const auto next = mInbox.Take();
-  // Also schedules the next one, before this one is handled, so that an
-  // exception does not end the handling.
-  ReadDatagrams();
-  if (!next) {
-    return;
-  }
-  ++mCounts.mDatagramsReceived;
-  if (const auto message = DecodeGossip(next->mDatagram)) {
-    HandleMessage(*message, next->mArrivedAfter);
+void GatewayControl::HandleDatagram(const std::string& aDatagram,
+                                    TimePoint aArrivedAfter) {
+  if (const auto message = DecodeGossip(aDatagram)) {
+    HandleMessage(*message, aArrivedAfter);
   } else {
-    Log(LogLevel::Warning, "datagram_malformed",
-        {{"bytes", next->mDatagram.size()}});
-  }
-}
-
-void GatewayControl::NoteDroppedDatagrams() {
-  const TimePoint now = mClock.Now();
-  const std::uint64_t dropped = mInbox.Dropped();
-  if (dropped == mCounts.mDatagramsDropped ||
-      now - mDropsLoggedAt < kMinDropLogInterval) {
-    return;
+    Log(LogLevel::Warning, "datagram_malformed", {{"bytes", aDatagram.size()}});
   }
-  mDropsLoggedAt = now;
-  Log(LogLevel::Warning, "datagrams_dropped",
-      {{"count", dropped - mCounts.mDatagramsDropped}, {"total", dropped}});
-  mCounts.mDatagramsDropped = dropped;
 }
 
 void GatewayControl::HandleMessage(const GossipMessage& aMessage,
@@ -361,14 +271,14 @@
     // view that the message brings.
     RunIteration();
   }
-  Send(mGossip.MessageArrived(aMessage, now));
+  mSocket.Send(mGossip.MessageArrived(aMessage, now));
   if (const auto sender = mGossip.Find(aMessage.mSender.mName)) {
     Perform(mSynchronizer.NotePeerSummary(sender->mControlAddress,
                                           aMessage.mView, aArrivedAfter, now));
     NoteConfirmation();
   }
   if (aMessage.mPassViewOn) {
-    Send(mGossip.PassViewOn());
+    mSocket.Send(mGossip.PassViewOn());
   }
   for (const CrashRecord& crash : mGossip.TakeReceivedCrashes()) {
     mHooks.mCrashReceived(crash);
@@ -388,7 +298,7 @@
     } else if (std::holds_alternative<CancelStoreCall>(action)) {
       CancelCallToStore();
     } else {
-      Send(mGossip.PingSome(kAskedHosts, mClock.Now()));
+      mSocket.Send(mGossip.PingSome(kAskedHosts, mClock.Now()));
     }
   }
 }
@@ -409,12 +319,12 @@
   const bool fromStore = aSource == "watch" || aSource == "read";
   if (aChanges.empty()) {
     if (fromStore && mSynchronizer.ShouldBroadcastConfirmation(mClock.Now())) {
-      Send(mGossip.BroadcastConfirmation());
+      mSocket.Send(mGossip.BroadcastConfirmation());
     }
     return;
   }
   if (fromStore || mGossip.UsesRelays()) {
-    Send(mGossip.BroadcastView(fromStore));
+    mSocket.Send(mGossip.BroadcastView(fromStore));
   }
   // Hundreds of lines at once would delay the change on a small host, and fill
   // the queue of lines. Event view_changed has the number of changes.
--- a/servers/gateway_control.h
+++ b/servers/gateway_control.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <array>
 #include <asio/io_context.hpp>
-#include <asio/ip/udp.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -11,7 +9,6 @@
 
 #include "core/base/clock.h"
 #include "core/endpoints/endpoint_registry.h"
-#include "core/gossip/datagram_inbox.h"
 #include "core/gossip/gossip_engine.h"
 #include "core/gossip/member_publication.h"
 #include "core/view/view_synchronizer.h"
@@ -21,6 +18,7 @@
 #include "platform/store_protocol.h"
 #include "servers/control_counts.h"
 #include "servers/gateway_settings.h"
+#include "servers/gossip_socket.h"
 
 namespace papayawheel {
 
@@ -87,16 +85,7 @@
   /** Names of the hosts in the order in which they should read the store, as
    * far as they are known here. */
   const std::vector<std::string>& RankedReaders();
-  void Send(const Datagrams& aDatagrams);
-  /** Reads datagrams whenever some arrive. */
-  void AwaitDatagrams();
-  /** Moves the datagrams that wait in the socket to the inbox. */
-  void ReadDatagrams();
-  /** Handles the datagrams in the inbox one after the other; other events run
-   * between them. */
-  void HandleNextDatagram();
-  /** Counts and logs datagrams that were dropped as too many waited. */
-  void NoteDroppedDatagrams();
+  void HandleDatagram(const std::string& aDatagram, TimePoint aArrivedAfter);
   /** @param aArrivedAfter a time before the message arrived. */
   void HandleMessage(const GossipMessage& aMessage, TimePoint aArrivedAfter);
   void Perform(const ViewActions& aActions);
@@ -139,13 +128,8 @@
   ControlHooks mHooks;
   asio::io_context mContext{1};
   asio::steady_timer mTimer{mContext};
-  asio::ip::udp::socket mSocket{mContext};
-  asio::ip::udp::endpoint mRemoteEndpoint;
-  std::array<char, 65536> mDatagram{};
-  DatagramInbox<std::string> mInbox;
-  /** Whether HandleNextDatagram() is scheduled. */
-  bool mHandlesDatagrams = false;
-  TimePoint mDropsLoggedAt;
+  ControlCounts mCounts;
+  GossipSocket mSocket;
   HttpClient mClient{mContext};
   std::unique_ptr<HttpServer> mServer;
   GossipEngine mGossip;
@@ -167,7 +151,6 @@
   /** The read or watch of the store under way; 0 if there is none. */
   HttpClient::Id mStoreCall = 0;
   TimePoint mLastIteration;
-  ControlCounts mCounts;
   std::string mLastError;
 };
 
--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -104,7 +104,7 @@
   host.mAlive = true;
   host.mSuspended = false;
   host.mCallsStore = false;
-  host.mPull = 0;
+  host.mPulls.clear();
   host.mTasks.clear();
   host.mSocket.clear();
   host.mInbox = DatagramInbox<MessagePtr>(mEvents.Now());
@@ -308,7 +308,7 @@
   if (!aSuspended) {
     host.mCallsStore = false;
     host.mSynchronizer->Invalidate(mEvents.Now());
-    host.mPull = 0;
+    host.mPulls.clear();
     host.mTasks.clear();
     Send(aHost, host.mGossip->ResumeAfterSuspension(
                     ReadersOf(RankingKnownTo(aHost)), mEvents.Now()));
@@ -643,7 +643,7 @@
 void GossipFleet::Pull(std::size_t aHost, const PullView& aPull) {
   Spend(aHost, kCallCost);
   const std::uint64_t number = ++mLastPull;
-  mHosts[aHost].mPull = number;
+  mHosts[aHost].mPulls.insert(number);
   mEvents.After(mHosts[aHost].mSpent + kPullTimeout,
                 [this, aHost, number] { EndPull(aHost, number, {}); });
   const std::size_t peer = IndexOf(aPull.mAddress);
@@ -671,10 +671,9 @@
 void GossipFleet::EndPull(std::size_t aHost, std::uint64_t aPull,
                           const std::optional<ViewTransfer>& aTransfer) {
   Host& host = mHosts[aHost];
-  if (host.mPull != aPull || !IsUp(aHost, host.mEpoch)) {
+  if (!IsUp(aHost, host.mEpoch) || host.mPulls.erase(aPull) == 0) {
     return;
   }
-  host.mPull = 0;
   Queue(aHost, [this, aHost, aTransfer] {
     ViewSynchronizer& synchronizer = *mHosts[aHost].mSynchronizer;
     const auto changes = synchronizer.FinishPull(aTransfer, mEvents.Now());
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -136,8 +137,8 @@
     TimePoint mNextIterationAt;
     /** When the last answer of the host will have left its link. */
     TimePoint mLinkBusyUntil;
-    /** Number of its latest pull; 0 if none is under way. */
-    std::uint64_t mPull = 0;
+    /** Numbers of the pulls under way. */
+    std::set<std::uint64_t> mPulls;
     /** Events that wait for the processor. */
     std::deque<std::function<void()>> mTasks;
     std::deque<std::shared_ptr<const GossipMessage>> mSocket;
--- a/tests/core/test_view_synchronizer.cpp
+++ b/tests/core/test_view_synchronizer.cpp
@@ -143,6 +143,32 @@
   }
 }
 
+// Guards against a host that waits for a pull that hangs, though others have
+// the change, and against an answer that is dated by a later pull than its own.
+TEST_CASE("view synchronizer: a pull that hangs does not keep others waiting") {
+  ViewSynchronizer source = MakeReader(kStart);
+  ViewSynchronizer host = MakeReader(kStart, 2);
+  const TimePoint first = kStart + seconds(1);
+  source.Tick({ReaderRole::Confirmer}, first);
+  source.StoreAnswered(StoreDelta{false, 6, {{"key", 6, "y"}}}, first);
+  const auto announce = [&](const std::string& aPeer, TimePoint aNow) {
+    return host.NotePeerSummary(aPeer, source.Summary(aNow), aNow, aNow);
+  };
+  REQUIRE(announce("one", first).size() == 1);
+  CHECK(announce("two", first + milliseconds(100)).empty());
+  const TimePoint later = first + milliseconds(300);
+  const ViewActions actions = announce("two", later);
+  REQUIRE(actions.size() == 1);
+  CHECK(std::get<PullView>(actions.front()).mAddress == "two");
+  const auto transfer = source.ServePull(0, 5, later);
+  host.FinishPull(transfer, later + milliseconds(10));
+  CHECK(host.View().Newest() == 6);
+  CHECK(host.Confirmation()->mAt <= first);
+  // The first pull ends at last.
+  host.FinishPull(std::nullopt, later + milliseconds(300));
+  CHECK(host.PullFromNextSource(later + milliseconds(300)).empty());
+}
+
 // Guards against a period of the store that begins earlier with each host that
 // it is passed on to, by the time of each pull.
 TEST_CASE("view synchronizer: a period that is passed on keeps its beginning") {
