--- a/tests/fuzz/fuzz_gossip.cpp
+++ b/tests/fuzz/fuzz_gossip.cpp
@@ -31,8 +31,8 @@
   for (const Datagram& datagram : engine.MessageArrived(*message, kNow)) {
     EncodeGossip(datagram.mMessage);
   }
-  synchronizer.NotePeerSummary("10.0.0.2:1", message->mView, kNow);
-  synchronizer.Tick(ReaderRole::None, kNow);
+  synchronizer.NotePeerSummary("10.0.0.2:1", message->mView, kNow, kNow);
+  synchronizer.Tick({ReaderRole::None}, kNow);
   engine.Tick(kNow + std::chrono::seconds(1));
 }
 
