--- a/tests/core/gossip_fleet.cpp
+++ b/tests/core/gossip_fleet.cpp
@@ -424,7 +424,6 @@
   if (!IsConnected(aFrom, aTo)) {
     return;
   }
-  ++host.mReceived;
   if (host.mResources.mCores == 0) {
     HandleMessage(aTo, *aText, mEvents.Now());
     return;
@@ -469,14 +468,6 @@
   });
 }
 
-std::uint64_t GossipFleet::MaxReceived() const {
-  std::uint64_t most = 0;
-  for (const Host& host : mHosts) {
-    most = std::max(most, host.mReceived);
-  }
-  return most;
-}
-
 void GossipFleet::Act(std::size_t aHost, const ViewActions& aActions) {
   for (const ViewAction& action : aActions) {
     if (const auto* const pull = std::get_if<PullView>(&action)) {
--- a/tests/core/gossip_fleet.h
+++ b/tests/core/gossip_fleet.h
@@ -104,8 +104,6 @@
   [[nodiscard]] std::vector<std::size_t> Readers() const;
   [[nodiscard]] std::uint64_t StoreCalls() const { return mStoreCalls; }
   [[nodiscard]] std::uint64_t Datagrams() const { return mDatagrams; }
-  /** The most datagrams that one host has been sent. */
-  [[nodiscard]] std::uint64_t MaxReceived() const;
   /** Runs until all hosts, except some, know a revision. Returns the time that
    * took, or nothing if it took longer than the limit. */
   std::optional<Duration> TimeUntilKnown(
@@ -148,7 +146,6 @@
     bool mIsSocketNext = false;
     /** Time that the present event has taken so far. */
     Duration mSpent{0};
-    std::uint64_t mReceived = 0;
     /** The order of the readers as it knows them, and the generation of its
      * member list and its own version from which it was computed. */
     std::vector<std::string> mRanking;
