--- a/review/fleet-2.sh
+++ b/review/fleet-2.sh
@@ -73,41 +73,58 @@
   wait_for 5 is_up "$port" || cannot_run "the store does not start"
 }
 
-# start_gateways COUNT: starts the gateways g1, g2, ... on 127.0.0.11, .12, ...
-# with the command and the template of deploy/system.toml, filled in like a
-# machine of umlilo-gw-grown.
-start_gateways() {
-  local n ip
+# allocate_gateway_ports: allocates the ports that all gateways use, each on an
+# IP address of its own (127.0.0.11, .12, ...).
+allocate_gateway_ports() {
   allocate_port; front_port=$port
   allocate_port; ready_port=$port
   allocate_port; directory_port=$port
   allocate_port; control_port=$port
   allocate_port; gossip_port=$port
+}
+
+# write_settings NUMBER: fills in the template of deploy/system.toml as the
+# platform does, for a machine of umlilo-gw-grown. $grace_s is the bound grace-s.
+grace_s=6
+write_settings() {
+  local ip="127.0.0.$((10 + $1))"
+  # All values are present, so sections for absent ones are dropped.
+  sed -E \
+    -e 's/\{\{\^[^}]*\}\}[^{]*\{\{\/[^}]*\}\}//g' \
+    -e 's/\{\{#[^}]*\}\}([^{]*)\{\{\/[^}]*\}\}/\1/g' \
+    -e "s/\{\{node-name\}\}/g$1/; s/\{\{zone\}\}/gt-soweto/" \
+    -e "s/\{\{listen.front\}\}/$ip:$front_port/" \
+    -e "s/\{\{listen.ready\}\}/$ip:$ready_port/" \
+    -e "s/\{\{listen.directory\}\}/$ip:$directory_port/" \
+    -e "s/\{\{listen.control\}\}/$ip:$control_port/" \
+    -e "s/\{\{internal-ports.0\}\}/$gossip_port/" \
+    -e "s/\{\{seeds\}\}/127.0.0.11:$control_port,127.0.0.12:$control_port/" \
+    -e "s/\{\{platform.address\}\}/$store/" \
+    -e "s/\{\{bounds.ttl_max_s\}\}/5/; s/\{\{bounds.grace-s\}\}/$grace_s/" \
+    -e 's/\{\{bounds.retry-budget-ratio\}\}/0.2/' \
+    -e 's/\{\{bounds.retry-budget-slack\}\}/218/' \
+    -e 's/\{\{bounds.budget-window-s\}\}/10/' \
+    -e 's/\{\{bounds.probes-per-s\}\}/42/' \
+    -e 's/\{\{limits.cpu-share\}\}/0.5/; s/\{\{limits.cores\}\}/1/' \
+    -e 's/\{\{limits.link-mbps\}\}/200/' \
+    "$root/platform/settings.template" >"$work/g$1.new"
+  ! grep -q '{{' "$work/g$1.new" || cannot_run "a field of the template is unknown"
+  mv "$work/g$1.new" "$work/g$1.settings"
+}
+
+# start_gateway NUMBER: starts a gateway with the command of deploy/system.toml.
+start_gateway() {
+  start "g$1" "$gateway_program" --settings-file "$work/g$1.settings" \
+    --memory-mb=512 --max-fds=8192 --cold-over=1 --cold-slack=0
+}
+
+# start_gateways COUNT: starts the gateways g1, g2, ...
+start_gateways() {
+  local n
+  allocate_gateway_ports
   for ((n = 1; n <= $1; n++)); do
-    ip="127.0.0.$((10 + n))"
-    cat >"$work/g$n.settings" <<SETTINGS
-name = g$n
-data-centre = gt-soweto
-front-address = $ip:$front_port
-ready-address = $ip:$ready_port
-directory-address = $ip:$directory_port
-control-address = $ip:$control_port
-gossip-port = $gossip_port
-seeds = 127.0.0.11:$control_port,127.0.0.12:$control_port
-store = $store
-directory-keep-ms = 5000
-grace-ms = 6000
-retry-ratio = 0.2
-retry-slack = 218
-retry-window-ms = 10000
-first-start = true
-probe-rate = 42
-processor-share = 0.5
-processor-speed = 1
-link-mbps = 200.0
-SETTINGS
-    start "g$n" "$gateway_program" --settings-file "$work/g$n.settings" \
-      --memory-mb=512 --max-fds=8192 --cold-over=1 --cold-slack=0
+    write_settings "$n"
+    start_gateway "$n"
   done
   for ((n = 1; n <= $1; n++)); do
     wait_for 10 is_ready "$n" || cannot_run "gateway g$n does not get ready"
