Endpoint client: an answer that a reset ended during the request is no answer

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got the part as the whole answer.

Cause: Linux reports a reset to the first call that asks. Asio lets a pending write ask before a pending read, so the write got ECONNRESET. Its handler dropped the error and read on, and that read returned an end of file, which ends an answer without a length.

Ruled out: rejecting such answers whenever the write failed or was under way; an endpoint may end its side in order and read the rest of the request, and an answer with a length or a last chunk is whole whatever follows.

Change: after a failed write an end of file no longer ends an answer. An end of file that is read while the request is still being written waits until the write ends: its error means that the connection was reset. An endpoint that holds the connection and does not read on is waited for 250 ms, then its end counts. Answers that are whole by their length, chunks or status are delivered as before.

Why this holds: a reset reaches the write, the read or both, and an end of file counts only if neither got one. A read may return the end of file before the handler of the failed write runs; the wait covers that order.

--- a/drivers/endpoint_client.cpp
+++ b/drivers/endpoint_client.cpp
@@ -59,6 +59,11 @@
 /** Requests without success after which a connection is not reused. */
 constexpr std::size_t kMaxUnsuccessful = 32;
 
+/** How long a reset is awaited after the endpoint ended its answer by ending
+ * its side of the connection, if it has not read the whole request. An endpoint
+ * that has closed the connection resets it when more of the request arrives. */
+constexpr milliseconds kMaxResetWait{250};
+
 struct Connection {
   Connection(asio::io_context& aContext, const AnswerLimits& aLimits)
       : mSocket(aContext), mTimer(aContext), mParser(aLimits) {}
@@ -73,7 +78,12 @@
   /** The request in progress; 0 while the connection is idle. */
   EndpointClient::Id mRequest = 0;
   bool mWriting = false;
+  /** Whether the connection broke before the request was written. */
+  bool mWriteFailed = false;
   bool mReading = false;
+  /** Whether the answer ended with the endpoint's side of the connection while
+   * the request was still being written. */
+  bool mAwaitsReset = false;
   /** Bytes of its unfinished answer that are included in the total. */
   std::size_t mBufferedBytes = 0;
   std::size_t mLateAnswers = 0;
@@ -296,18 +306,29 @@
     asio::async_write(aConnection->mSocket, outgoing,
                       [self = shared_from_this(), aConnection](
                           asio::error_code aError, std::size_t /*aSize*/) {
-                        aConnection->mWriting = false;
-                        aConnection->mOutgoingBody = nullptr;
-                        if (aError && aConnection->mRequest != 0) {
-                          // The answer may have arrived before the connection
-                          // broke; the read shows that.
-                          self->Read(aConnection);
-                        }
+                        self->HandleWritten(aConnection, aError);
                       });
     WatchPeer(aConnection);
     Read(aConnection);
   }
 
+  void HandleWritten(const ConnectionPtr& aConnection,
+                     asio::error_code aError) {
+    aConnection->mWriting = false;
+    aConnection->mOutgoingBody = nullptr;
+    aConnection->mWriteFailed = static_cast<bool>(aError);
+    if (aConnection->mRequest == 0) {
+      return;
+    }
+    if (aConnection->mAwaitsReset) {
+      HandleEnd(aConnection, aError);
+    } else if (aError) {
+      // The answer may have arrived before the connection broke; the read shows
+      // that.
+      Read(aConnection);
+    }
+  }
+
   /** Lets an unreachable endpoint be noticed while the request is sent. */
   void WatchPeer(const ConnectionPtr& aConnection) {
     const bool isShort = aConnection->mOutgoingBody == nullptr ||
@@ -332,6 +353,9 @@
 
   /** Ends the request if the endpoint has become unreachable. */
   void CheckPeer(const ConnectionPtr& aConnection) {
+    if (aConnection->mAwaitsReset) {
+      return;
+    }
     const auto state = ReadSendState(aConnection->mSocket.native_handle());
     if (!state) {
       NoteNoSendState();
@@ -342,11 +366,7 @@
       return;
     }
     if (aConnection->mPeerWatch.Check(*state)) {
-      const auto outcome = aConnection->mParser.HasBegun()
-                               ? EndpointOutcome::Garbled
-                               : EndpointOutcome::Lost;
-      Finish(aConnection->mRequest, outcome, nullptr,
-             "the endpoint acknowledges nothing");
+      Fail(aConnection, "the endpoint acknowledges nothing");
       return;
     }
     AwaitPeerCheck(aConnection);
@@ -393,16 +413,49 @@
 
   void HandleReadError(const ConnectionPtr& aConnection,
                        asio::error_code aError) {
-    const Id id = aConnection->mRequest;
-    if (aError == asio::error::eof && aConnection->mParser.HasBegun() &&
+    // The system reports a reset once. If the write got it, the next read
+    // returns an end of file, as at an orderly end.
+    if (aError == asio::error::eof && !aConnection->mWriteFailed &&
+        aConnection->mParser.HasBegun() &&
         aConnection->mParser.FeedEnd() == AnswerParser::Result::Complete) {
-      HandleAnswer(aConnection, 0, 0);
+      if (aConnection->mWriting) {
+        AwaitReset(aConnection);
+      } else {
+        HandleAnswer(aConnection, 0, 0);
+      }
       return;
     }
+    Fail(aConnection, aError.message());
+  }
+
+  /** Waits until the rest of the request is written or cannot be. The answer is
+   * complete unless the connection is reset. */
+  void AwaitReset(const ConnectionPtr& aConnection) {
+    aConnection->mAwaitsReset = true;
+    aConnection->mTimer.expires_after(kMaxResetWait);
+    aConnection->mTimer.async_wait(
+        [self = shared_from_this(), aConnection](asio::error_code aError) {
+          if (!aError && aConnection->mRequest != 0) {
+            self->HandleEnd(aConnection, {});
+          }
+        });
+  }
+
+  /** Handles an answer that ended with the connection. */
+  void HandleEnd(const ConnectionPtr& aConnection, asio::error_code aError) {
+    if (aError) {
+      Fail(aConnection, aError.message());
+    } else {
+      HandleAnswer(aConnection, 0, 0);
+    }
+  }
+
+  /** Ends a request whose connection broke before the end of the answer. */
+  void Fail(const ConnectionPtr& aConnection, const std::string& aReason) {
     const auto outcome = aConnection->mParser.HasBegun()
                              ? EndpointOutcome::Garbled
                              : EndpointOutcome::Lost;
-    Finish(id, outcome, nullptr, aError.message());
+    Finish(aConnection->mRequest, outcome, nullptr, aReason);
   }
 
   void Feed(const ConnectionPtr& aConnection, std::size_t aSize) {
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -35,8 +35,14 @@
   std::string mEndless = {};
   /** Pause before each repetition of mEndless. */
   std::chrono::milliseconds mPause{0};
+  /** Whether to reset the connection afterwards. */
+  bool mReset = false;
 };
 
+std::string LastSegment(const std::string& aTarget) {
+  return aTarget.substr(aTarget.rfind('/') + 1);
+}
+
 /** Scripts of answers that never end, by the last segment of the target. */
 std::optional<Script> EndlessScriptFor(const std::string& aTarget) {
   const std::string head = "HTTP/1.1 200 OK\r\n";
@@ -54,16 +60,39 @@
        {head + "Content-Length: 1000\r\n\r\n", false, "z",
         std::chrono::milliseconds(100)}},
   };
-  const auto found = scripts.find(aTarget.substr(aTarget.rfind('/') + 1));
+  const auto found = scripts.find(LastSegment(aTarget));
   return found == scripts.end() ? std::nullopt : std::optional(found->second);
 }
 
+/** Scripts of answers to long requests that are followed by a reset, by the
+ * last segment of the target, which they echo as request id. */
+std::optional<Script> EarlyScriptFor(const std::string& aTarget) {
+  const std::string name = LastSegment(aTarget);
+  const std::string id =
+      fmt::format("{}: {}\r\n", platform::kRequestIdHeader, name);
+  const std::string head = "HTTP/1.1 200 OK\r\n" + id;
+  const std::map<std::string, std::string> answers = {
+      {"early-part", head + "\r\npart"},
+      {"early-chunk", head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"},
+      {"early-whole", head + "Content-Length: 5\r\n\r\nwhole"},
+      {"early-refusal",
+       "HTTP/1.1 413 Too Long\r\n" + id + "Content-Length: 7\r\n\r\nrefused"},
+  };
+  const auto found = answers.find(name);
+  if (found == answers.end()) {
+    return std::nullopt;
+  }
+  Script script{found->second};
+  script.mReset = true;
+  return script;
+}
+
 /** Scripts of answers with an unusual status line: "status-X" sends the status
  * X, in which "_" stands for a space. They echo the last segment of the target
  * as request id. */
 std::optional<Script> StatusScriptFor(const std::string& aTarget) {
   const std::string prefix = "status-";
-  const std::string name = aTarget.substr(aTarget.rfind('/') + 1);
+  const std::string name = LastSegment(aTarget);
   const std::string rest =
       fmt::format("\r\n{}: {}\r\nContent-Length: 2\r\n\r\nok",
                   platform::kRequestIdHeader, name);
@@ -108,6 +137,9 @@
   if (const auto script = StatusScriptFor(aTarget)) {
     return *script;
   }
+  if (const auto early = EarlyScriptFor(aTarget)) {
+    return *early;
+  }
   if (const auto endless = EndlessScriptFor(aTarget)) {
     return *endless;
   }
@@ -155,6 +187,10 @@
                         if (aError || self->mScript.mClose) {
                           return;
                         }
+                        if (self->mScript.mReset) {
+                          self->Reset();
+                          return;
+                        }
                         if (self->mScript.mEndless.empty()) {
                           self->Read();
                         } else {
@@ -163,6 +199,13 @@
                       });
   }
 
+  void Reset() {
+    asio::error_code ignored;
+    // With a linger time of 0, closing the socket resets the connection.
+    mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+    mSocket.close(ignored);
+  }
+
   /** Sends mEndless until the peer closes the connection. Without a pause, it
    * is first made longer for writes of kMinWriteBytes or more. */
   void Repeat() {
