Answer parser: an answer with a malformed field name is malformed

What callers saw: an endpoint sent an answer in whose head the name of a field held a blank ("Bad Name: x", "Bad : x", "Content Length: 9", " Bad: x" as the first line); the caller got it as 200 with that line passed on. The same with such a name in an interim answer or a trailer.

Cause: http_parser was left to check names. Debian builds it without its strict mode, in which it takes a blank in a name. Other bytes that no name may hold it refuses already: tab, control bytes, NUL, DEL, bytes above 127, an empty name, a line without a colon.

Change: AnswerHeadCheck reads the bytes of each head before the parser does: the status line as before, then the field lines, whose names must be tokens of RFC 9110. The parser stops at the last chunk, so that trailers are checked too. A malformed line makes the answer malformed: the caller gets 502 and the endpoint's failure is counted. StatusLineCheck reads single bytes and tells the end of its line.

Why this holds: whatever the parser accepts, no byte of a head or trailer reaches it unchecked.

The scripts share the start of their fleet.

--- /dev/null
+++ b/drivers/answer_head.cpp
@@ -0,0 +1,21 @@
+#include "drivers/answer_head.h"
+
+namespace papayawheel {
+
+bool AnswerHeadCheck::Feed(std::string_view aBytes) {
+  for (const char byte : aBytes) {
+    if (mFieldLines.IsComplete()) {
+      break;
+    }
+    const bool isValid = mStatusLine.IsComplete() ? mFieldLines.Feed(byte)
+                                                  : mStatusLine.Feed(byte);
+    if (!isValid) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void AnswerHeadCheck::StartTrailers() { mFieldLines = FieldLinesCheck(); }
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/answer_head.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string_view>
+
+#include "drivers/field_lines.h"
+#include "drivers/status_line.h"
+
+namespace papayawheel {
+
+/** Checks the head of an HTTP answer, final or interim, as its bytes arrive. */
+class AnswerHeadCheck {
+ public:
+  /** Checks the next bytes of an answer. Those after its head are ignored.
+   * Returns false once the head is malformed. */
+  bool Feed(std::string_view aBytes);
+
+  /** Prepares for the trailers of the answer, which end like a head. */
+  void StartTrailers();
+
+ private:
+  StatusLineCheck mStatusLine;
+  FieldLinesCheck mFieldLines;
+};
+
+}  // namespace papayawheel
--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -31,6 +31,7 @@
   mSettings.on_header_field = &AnswerParser::OnField;
   mSettings.on_header_value = &AnswerParser::OnValue;
   mSettings.on_headers_complete = &AnswerParser::OnHeaders;
+  mSettings.on_chunk_header = &AnswerParser::OnChunkHeader;
   mSettings.on_body = &AnswerParser::OnBody;
   mSettings.on_message_complete = &AnswerParser::OnComplete;
   StartAnswer(false);
@@ -39,7 +40,7 @@
 void AnswerParser::StartAnswer(bool aIsHead) {
   http_parser_init(&mParser, HTTP_RESPONSE);
   mParser.data = this;
-  mStatusLine = StatusLineCheck();
+  mHeadCheck = AnswerHeadCheck();
   mResponse = std::make_shared<Response>();
   mHeadBytes = 0;
   mInterimAnswers = 0;
@@ -55,7 +56,7 @@
   mHasBegun = mHasBegun || aSize > 0;
   aUsed = 0;
   while (aUsed < aSize && !mComplete) {
-    if (!mStatusLine.Feed({aData + aUsed, aSize - aUsed})) {
+    if (!mHeadCheck.Feed({aData + aUsed, aSize - aUsed})) {
       return Result::Malformed;
     }
     const std::size_t parsed =
@@ -67,7 +68,6 @@
     }
     if (error == HPE_PAUSED) {
       http_parser_pause(&mParser, 0);
-      mStatusLine = StatusLineCheck();
     }
   }
   return mComplete ? Result::Complete : Result::Incomplete;
@@ -137,6 +137,16 @@
   return kContinue;
 }
 
+int AnswerParser::OnChunkHeader(http_parser* aParser) {
+  const bool isLast = aParser->content_length == 0;
+  if (isLast) {
+    Owner(aParser).mHeadCheck.StartTrailers();
+    // Stops here, as the next bytes are to be checked.
+    http_parser_pause(aParser, 1);
+  }
+  return kContinue;
+}
+
 int AnswerParser::OnBody(http_parser* aParser, const char* aData,
                          std::size_t aSize) {
   AnswerParser& self = Owner(aParser);
@@ -155,7 +165,8 @@
     if (++self.mInterimAnswers > kMaxInterimAnswers) {
       return kAbort;
     }
-    // Stops here, as the next status line is to be checked.
+    self.mHeadCheck = AnswerHeadCheck();
+    // Stops here, as the next head is to be checked.
     http_parser_pause(aParser, 1);
     return kContinue;
   }
--- a/drivers/answer_parser.h
+++ b/drivers/answer_parser.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "core/outcome/response.h"
+#include "drivers/answer_head.h"
 #include "drivers/answer_limits.h"
-#include "drivers/status_line.h"
 
 namespace papayawheel {
 
@@ -57,15 +57,16 @@
   static int OnValue(http_parser* aParser, const char* aData,
                      std::size_t aSize);
   static int OnHeaders(http_parser* aParser);
+  static int OnChunkHeader(http_parser* aParser);
   static int OnBody(http_parser* aParser, const char* aData, std::size_t aSize);
   static int OnComplete(http_parser* aParser);
 
   http_parser mParser{};
   http_parser_settings mSettings{};
   AnswerLimits mLimits;
-  /** Checks the status line of the answer, final or interim, that is being
-   * read. */
-  StatusLineCheck mStatusLine;
+  /** Checks the head of the answer, final or interim, that is being read, and
+   * its trailers. */
+  AnswerHeadCheck mHeadCheck;
   std::shared_ptr<Response> mResponse;
   /** Bytes of header and trailer names and values, including those of interim
    * answers. */
--- /dev/null
+++ b/drivers/field_lines.cpp
@@ -0,0 +1,63 @@
+#include "drivers/field_lines.h"
+
+namespace papayawheel {
+namespace {
+
+/** Bytes of a name besides letters and digits (RFC 9110, 5.6.2). */
+constexpr std::string_view kNamePunctuation = "!#$%&'*+-.^_`|~";
+
+bool IsBetween(char aFirst, char aByte, char aLast) {
+  return aFirst <= aByte && aByte <= aLast;
+}
+
+bool IsNameByte(char aByte) {
+  return IsBetween('a', aByte, 'z') || IsBetween('A', aByte, 'Z') ||
+         IsBetween('0', aByte, '9') ||
+         kNamePunctuation.find(aByte) != std::string_view::npos;
+}
+
+bool IsBlank(char aByte) { return aByte == ' ' || aByte == '\t'; }
+
+}  // namespace
+
+bool FieldLinesCheck::Feed(char aByte) {
+  mState = Next(aByte);
+  mHasLine = mHasLine || mState == State::Value;
+  return mState != State::Invalid;
+}
+
+FieldLinesCheck::State FieldLinesCheck::Next(char aByte) const {
+  switch (mState) {
+    case State::LineStart:
+      return NextAtLineStart(aByte);
+    case State::Name:
+      if (aByte == ':') {
+        return State::Value;
+      }
+      return IsNameByte(aByte) ? State::Name : State::Invalid;
+    case State::Value:
+      return aByte == '\n' ? State::LineStart : State::Value;
+    case State::EmptyLine:
+      return State::Complete;
+    case State::Complete:
+    case State::Invalid:
+      break;
+  }
+  return mState;
+}
+
+FieldLinesCheck::State FieldLinesCheck::NextAtLineStart(char aByte) const {
+  if (aByte == '\r') {
+    return State::EmptyLine;
+  }
+  if (aByte == '\n') {
+    return State::Complete;
+  }
+  if (mHasLine && IsBlank(aByte)) {
+    // The value of the line before continues.
+    return State::Value;
+  }
+  return IsNameByte(aByte) ? State::Name : State::Invalid;
+}
+
+}  // namespace papayawheel
--- /dev/null
+++ b/drivers/field_lines.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string_view>
+
+namespace papayawheel {
+
+/** Checks the field lines of the head or the trailers of an HTTP answer as
+ * their bytes arrive, up to the empty line that ends them. The HTTP libraries
+ * accept other bytes in names, such as blanks. */
+class FieldLinesCheck {
+ public:
+  /** Checks the next byte. Returns false if the lines are malformed. */
+  bool Feed(char aByte);
+
+  /** Whether the empty line has been read. */
+  [[nodiscard]] bool IsComplete() const { return mState == State::Complete; }
+
+ private:
+  enum class State { LineStart, Name, Value, EmptyLine, Complete, Invalid };
+
+  [[nodiscard]] State Next(char aByte) const;
+  [[nodiscard]] State NextAtLineStart(char aByte) const;
+
+  State mState = State::LineStart;
+  /** Whether a line precedes the current one. */
+  bool mHasLine = false;
+};
+
+}  // namespace papayawheel
--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -4,7 +4,7 @@
 #include <cctype>
 #include <cerrno>
 
-#include "drivers/status_line.h"
+#include "drivers/answer_head.h"
 
 namespace papayawheel {
 namespace {
@@ -66,7 +66,7 @@
   const std::string line(aData, bytes);
   HttpResult& result = transfer.mResult;
   if (line.starts_with("HTTP/")) {
-    if (!StatusLineCheck().Feed(line)) {
+    if (!AnswerHeadCheck().Feed(line)) {
       transfer.mHasInvalidStatus = true;
       return 0;
     }
--- a/drivers/status_line.cpp
+++ b/drivers/status_line.cpp
@@ -9,29 +9,38 @@
 
 }  // namespace
 
-bool StatusLineCheck::Feed(std::string_view aBytes) {
-  for (const char byte : aBytes) {
-    if (mState == State::Valid || mState == State::Invalid) {
-      break;
-    }
-    mState = Next(byte);
-  }
+bool StatusLineCheck::Feed(char aByte) {
+  mState = Next(aByte);
   return mState != State::Invalid;
 }
 
 StatusLineCheck::State StatusLineCheck::Next(char aByte) {
-  if (mState == State::Start && IsLineEnd(aByte)) {
-    // Some servers send an empty line after the previous answer.
-    return State::Start;
-  }
-  if (mState != State::Status) {
-    if (IsLineEnd(aByte)) {
-      return State::Invalid;
-    }
-    return aByte == ' ' ? State::Status : State::Version;
+  switch (mState) {
+    case State::Start:
+      // Some servers send an empty line after the previous answer.
+      return IsLineEnd(aByte) ? State::Start : State::Version;
+    case State::Version:
+      if (IsLineEnd(aByte)) {
+        return State::Invalid;
+      }
+      return aByte == ' ' ? State::Status : State::Version;
+    case State::Status:
+      return NextInStatus(aByte);
+    case State::Reason:
+      return aByte == '\n' ? State::Complete : State::Reason;
+    case State::Complete:
+    case State::Invalid:
+      break;
   }
+  return mState;
+}
+
+StatusLineCheck::State StatusLineCheck::NextInStatus(char aByte) {
   if (mDigits == kStatusDigits) {
-    return aByte == ' ' || IsLineEnd(aByte) ? State::Valid : State::Invalid;
+    if (aByte == '\n') {
+      return State::Complete;
+    }
+    return aByte == ' ' || aByte == '\r' ? State::Reason : State::Invalid;
   }
   const char first = mDigits == 0 ? '1' : '0';
   const char last = mDigits == 0 ? '5' : '9';
--- a/drivers/status_line.h
+++ b/drivers/status_line.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstddef>
-#include <string_view>
 
 namespace papayawheel {
 
@@ -9,14 +8,17 @@
  * must be three digits from 100 to 599; the HTTP libraries accept others. */
 class StatusLineCheck {
  public:
-  /** Checks the next bytes of an answer. Those after the status are ignored.
-   * Returns false once the status is invalid. */
-  bool Feed(std::string_view aBytes);
+  /** Checks the next byte. Returns false once the status is invalid. */
+  bool Feed(char aByte);
+
+  /** Whether the end of the line has been read. */
+  [[nodiscard]] bool IsComplete() const { return mState == State::Complete; }
 
  private:
-  enum class State { Start, Version, Status, Valid, Invalid };
+  enum class State { Start, Version, Status, Reason, Complete, Invalid };
 
   [[nodiscard]] State Next(char aByte);
+  [[nodiscard]] State NextInStatus(char aByte);
 
   State mState = State::Start;
   std::size_t mDigits = 0;
--- a/misc/gateway_fleet.sh
+++ b/misc/gateway_fleet.sh
@@ -134,3 +134,19 @@
   done
   wait_for_gateways
 }
+
+# start_misbehaving_fleet SERVICE: starts a store, an endpoint "bad" of SERVICE
+# that violates HTTP, and the gateway g1.
+start_misbehaving_fleet() {
+  allocate_gateway_ports
+  start_store
+  put op/config "$(configuration 7 catalogue)"
+  endpoint_address[bad]="127.0.0.1:$(free_port)"
+  start bad papayawheel-standin-misbehaving --address "${endpoint_address[bad]}"
+  wait_for 5 is_up "${endpoint_address[bad]}"
+  put servers/bad "$(endpoint_entry bad "${endpoint_address[bad]}" "$1" ready 1000)"
+  gateways=(g1)
+  write_gateway_settings g1 1
+  start_gateway g1 1
+  wait_for 10 gateway_is_ready g1
+}
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -87,6 +87,28 @@
   return script;
 }
 
+/** Scripts of answers with an unusual field line, by the last segment of the
+ * target, which they echo as request id. */
+std::optional<Script> LineScriptFor(const std::string& aTarget) {
+  const std::string name = LastSegment(aTarget);
+  const std::map<std::string, std::string> lines = {
+      {"line-usual", "Good-Name: x"},
+      {"line-blank", "Bad Name: x"},
+      {"line-blank-at-end", "Bad-Name : x"},
+      {"line-blank-at-start", " Bad-Name: x"},
+      {"line-control", "Bad\x01Name: x"},
+      {"line-no-colon", "Bad-Name"},
+      {"line-blank-length", "Content Length: 9"},
+  };
+  const auto found = lines.find(name);
+  if (found == lines.end()) {
+    return std::nullopt;
+  }
+  return Script{fmt::format(
+      "HTTP/1.1 200 OK\r\n{}\r\n{}: {}\r\nContent-Length: 2\r\n\r\nok",
+      found->second, platform::kRequestIdHeader, name)};
+}
+
 /** Scripts of answers with an unusual status line: "status-X" sends the status
  * X, in which "_" stands for a space. They echo the last segment of the target
  * as request id. */
@@ -137,6 +159,9 @@
   if (const auto script = StatusScriptFor(aTarget)) {
     return *script;
   }
+  if (const auto line = LineScriptFor(aTarget)) {
+    return *line;
+  }
   if (const auto early = EarlyScriptFor(aTarget)) {
     return *early;
   }
--- /dev/null
+++ b/tests/drivers/test_field_lines.cpp
@@ -0,0 +1,113 @@
+// Answers whose head or trailers hold lines that are no header fields, as
+// upstreams in trouble send them.
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "tests/drivers/answer_texts.h"
+
+namespace papayawheel {
+namespace {
+
+using Result = AnswerParser::Result;
+using namespace std::string_literals;
+
+/** Field lines of an answer, each with its end. */
+using Lines = std::string;
+
+std::vector<Lines> MalformedNames() {
+  return {"Bad Name: x\r\n",
+          "Bad : x\r\n",
+          "Content Length: 1\r\n",
+          "Content-Length : 1\r\n",
+          "Transfer Encoding: chunked\r\n",
+          "Transfer-Encoding : chunked\r\n",
+          "Bad\tName: x\r\n",
+          "Bad\0Name: x\r\n"s,
+          "Bad\x01Name: x\r\n",
+          "Bad\x7fName: x\r\n",
+          "Bad\xe9Name: x\r\n",
+          "Bad\rName: x\r\n",
+          "(Bad): x\r\n",
+          "HTTP/1.1 200 OK: x\r\n",
+          ": x\r\n",
+          "no colon\r\n",
+          "nocolon\r\n"};
+}
+
+std::vector<Lines> ValidLines() {
+  return {"",
+          "Name: x\r\n",
+          "Name:x\r\n",
+          "Name:\r\n",
+          "Name: a b\tc \r\n",
+          "Name: a: b\r\n",
+          "Name: \xe9\r\n",
+          "!#$%&'*+-.^_`|~09azAZ: x\r\n",
+          "Name: x\r\nName: x\r\n",
+          "Name: x\nName: x\n"};
+}
+
+/** Whole answers with the body "ok" that hold the lines at each place. */
+std::vector<std::string> AnswersWith(const Lines& aLines) {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  return {status + aLines + length + "\r\nok",
+          status + length + aLines + "\r\nok",
+          "HTTP/1.1 103 Early Hints\r\nLink: x\r\n" + aLines + "\r\n" + status +
+              length + "\r\nok",
+          status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n" +
+              aLines + "\r\n"};
+}
+
+void CheckParser(const std::string& aText, Result aResult) {
+  for (const std::size_t piece : {std::size_t{1}, std::size_t{5000}}) {
+    CAPTURE(aText);
+    CAPTURE(piece);
+    AnswerParser parser;
+    CHECK(FeedAll(parser, aText, piece) == aResult);
+    if (aResult == Result::Complete) {
+      CHECK(parser.Take()->mBody == "ok");
+    }
+  }
+}
+
+// Guards against a caller that gets an answer with a line that is no header
+// field, or whose body ends where a misspelt field does not say.
+TEST_CASE("answer parser: a malformed name makes an answer malformed") {
+  for (const Lines& lines : MalformedNames()) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CheckParser(text, Result::Malformed);
+    }
+  }
+}
+
+TEST_CASE("answer parser: a first line that begins with a blank") {
+  for (const Lines lines : {" Bad: x\r\n", "\tBad: x\r\n", " : x\r\n"}) {
+    CheckParser(AnswersWith(lines).front(), Result::Malformed);
+    CheckParser(AnswersWith(lines).back(), Result::Malformed);
+  }
+}
+
+TEST_CASE("answer parser: field lines in order are accepted") {
+  for (const Lines& lines : ValidLines()) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CheckParser(text, Result::Complete);
+    }
+  }
+}
+
+TEST_CASE("endpoint client: an answer with a malformed name is none") {
+  for (const Lines& lines : MalformedNames()) {
+    CAPTURE(lines);
+    const auto answer = EndpointAnswerFor(AnswersWith(lines).front());
+    REQUIRE(answer);
+    CHECK(answer->mOutcome == EndpointOutcome::Garbled);
+    CHECK(answer->mResponse == nullptr);
+  }
+}
+
+}  // namespace
+}  // namespace papayawheel
--- a/tests/process/gateway_early_answers.sh
+++ b/tests/process/gateway_early_answers.sh
@@ -5,17 +5,7 @@
 set -euo pipefail
 source "$(dirname "$0")/../../misc/fleet.sh"
 source "$(dirname "$0")/../../misc/gateway_fleet.sh"
-allocate_gateway_ports
-start_store
-put op/config "$(configuration 7 catalogue)"
-endpoint_address[bad]="127.0.0.1:$(free_port)"
-start bad papayawheel-standin-misbehaving --address "${endpoint_address[bad]}"
-wait_for 5 is_up "${endpoint_address[bad]}"
-put servers/bad "$(endpoint_entry bad "${endpoint_address[bad]}" orders ready 1000)"
-gateways=(g1)
-write_gateway_settings g1 1
-start_gateway g1 1
-wait_for 10 gateway_is_ready g1
+start_misbehaving_fleet orders
 upload_bytes=8388608
 head -c "$upload_bytes" /dev/zero >"$work/upload"
 # upload ID: uploads to the path and with the request id ID, and prints the
--- a/tests/process/gateway_invalid_status.sh
+++ b/tests/process/gateway_invalid_status.sh
@@ -5,17 +5,7 @@
 set -euo pipefail
 source "$(dirname "$0")/../../misc/fleet.sh"
 source "$(dirname "$0")/../../misc/gateway_fleet.sh"
-allocate_gateway_ports
-start_store
-put op/config "$(configuration 7 catalogue)"
-endpoint_address[bad]="127.0.0.1:$(free_port)"
-start bad papayawheel-standin-misbehaving --address "${endpoint_address[bad]}"
-wait_for 5 is_up "${endpoint_address[bad]}"
-put servers/bad "$(endpoint_entry bad "${endpoint_address[bad]}" catalogue ready 1000)"
-gateways=(g1)
-write_gateway_settings g1 1
-start_gateway g1 1
-wait_for 10 gateway_is_ready g1
+start_misbehaving_fleet catalogue
 for status in 000 099 600 999 0200 20 2000 _200; do
   # After a broken answer the gateway sends nothing to the endpoint for a short
   # time, which must be over within a second.
