Answer parser: a line that continues a field value makes an answer malformed

What callers saw: a line of a head that begins with a blank, after another line, was appended to that line's value: " Bad-Name: x" became a part of the value before, of whatever field that was, and the answer reached the caller as 200.

RFC 9112 (5.2) leaves two ways for an answer: 502, or blanks in its place. Folding cannot be told from a field whose name begins with a blank, as an endpoint in trouble sends it, and no sender may fold since 2014.

Change: FieldLinesCheck refuses a line that begins with a blank wherever it stands, so the caller gets 502.

Tests, on the code before: "answer parser: a line that continues a value" failed in all its 48 checks (six lines, four places, whole and byte by byte). Now it passes, as does gateway_malformed_lines with such a line, aarch64.

--- a/drivers/field_lines.cpp
+++ b/drivers/field_lines.cpp
@@ -16,13 +16,10 @@
          kNamePunctuation.find(aByte) != std::string_view::npos;
 }
 
-bool IsBlank(char aByte) { return aByte == ' ' || aByte == '\t'; }
-
 }  // namespace
 
 bool FieldLinesCheck::Feed(char aByte) {
   mState = Next(aByte);
-  mHasLine = mHasLine || mState == State::Value;
   return mState != State::Invalid;
 }
 
@@ -46,17 +43,15 @@
   return mState;
 }
 
-FieldLinesCheck::State FieldLinesCheck::NextAtLineStart(char aByte) const {
+FieldLinesCheck::State FieldLinesCheck::NextAtLineStart(char aByte) {
   if (aByte == '\r') {
     return State::EmptyLine;
   }
   if (aByte == '\n') {
     return State::Complete;
   }
-  if (mHasLine && IsBlank(aByte)) {
-    // The value of the line before continues.
-    return State::Value;
-  }
+  // A blank would continue the value of the line before. RFC 9112 (5.2) allows
+  // 502 for that, and it may as well be a malformed name.
   return IsNameByte(aByte) ? State::Name : State::Invalid;
 }
 
--- a/drivers/field_lines.h
+++ b/drivers/field_lines.h
@@ -19,11 +19,9 @@
   enum class State { LineStart, Name, Value, EmptyLine, Complete, Invalid };
 
   [[nodiscard]] State Next(char aByte) const;
-  [[nodiscard]] State NextAtLineStart(char aByte) const;
+  static State NextAtLineStart(char aByte);
 
   State mState = State::LineStart;
-  /** Whether a line precedes the current one. */
-  bool mHasLine = false;
 };
 
 }  // namespace papayawheel
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -96,6 +96,7 @@
       {"line-blank", "Bad Name: x"},
       {"line-blank-at-end", "Bad-Name : x"},
       {"line-blank-at-start", " Bad-Name: x"},
+      {"line-continued", "Good-Name: x\r\n Bad-Name: x"},
       {"line-control", "Bad\x01Name: x"},
       {"line-no-colon", "Bad-Name"},
       {"line-blank-length", "Content Length: 9"},
--- a/tests/drivers/test_field_lines.cpp
+++ b/tests/drivers/test_field_lines.cpp
@@ -91,6 +91,18 @@
   }
 }
 
+// Guards against a caller that gets a value with a line appended to it, which
+// may be a field whose name begins with a blank.
+TEST_CASE("answer parser: a line that continues a value") {
+  for (const Lines lines : {"Name: x\r\n Bad: x\r\n", "Name: x\r\n\tBad: x\r\n",
+                            "Name: x\r\n y\r\n", "Name:\r\n y\r\n",
+                            "Name: x\n y\r\n", "Name: x\r\n \r\n"}) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CheckParser(text, Result::Malformed);
+    }
+  }
+}
+
 TEST_CASE("answer parser: field lines in order are accepted") {
   for (const Lines& lines : ValidLines()) {
     for (const std::string& text : AnswersWith(lines)) {
