Answer parser: a carriage return that ends no line makes an answer malformed

What callers saw: an answer in whose head or trailers a carriage return was followed by another byte than a line feed reached them as 200, with that byte taken for the line feed: "HTTP/1.1 200 OK\rContent-Length: 1" gave a field "ontent-Length", "\rX: y" ended the head and made the rest of it the body.

Cause: as for names, http_parser without its strict mode does not look at the byte after such a carriage return (status line, end of the head, end of the trailers). In values it does.

Change: StatusLineCheck and FieldLinesCheck require the line feed. A line feed alone still ends a line, as RFC 9112 (2.2) allows.

Tests, on the code before: "answer parser: a carriage return that ends no line" failed in 16 of its 22 checks (8 of 11 texts; those within values were refused already). Now it passes, with the tests of names and status lines, aarch64.

--- a/drivers/field_lines.cpp
+++ b/drivers/field_lines.cpp
@@ -33,9 +33,11 @@
       }
       return IsNameByte(aByte) ? State::Name : State::Invalid;
     case State::Value:
-      return aByte == '\n' ? State::LineStart : State::Value;
+      return NextInValue(aByte);
+    case State::LineEnd:
+      return aByte == '\n' ? State::LineStart : State::Invalid;
     case State::EmptyLine:
-      return State::Complete;
+      return aByte == '\n' ? State::Complete : State::Invalid;
     case State::Complete:
     case State::Invalid:
       break;
@@ -55,4 +57,11 @@
   return IsNameByte(aByte) ? State::Name : State::Invalid;
 }
 
+FieldLinesCheck::State FieldLinesCheck::NextInValue(char aByte) {
+  if (aByte == '\r') {
+    return State::LineEnd;
+  }
+  return aByte == '\n' ? State::LineStart : State::Value;
+}
+
 }  // namespace papayawheel
--- a/drivers/field_lines.h
+++ b/drivers/field_lines.h
@@ -16,10 +16,21 @@
   [[nodiscard]] bool IsComplete() const { return mState == State::Complete; }
 
  private:
-  enum class State { LineStart, Name, Value, EmptyLine, Complete, Invalid };
+  enum class State {
+    LineStart,
+    Name,
+    Value,
+    /** After the carriage return of a field line. */
+    LineEnd,
+    /** After the carriage return of the empty line. */
+    EmptyLine,
+    Complete,
+    Invalid,
+  };
 
   [[nodiscard]] State Next(char aByte) const;
   static State NextAtLineStart(char aByte);
+  static State NextInValue(char aByte);
 
   State mState = State::LineStart;
 };
--- a/drivers/status_line.cpp
+++ b/drivers/status_line.cpp
@@ -27,7 +27,9 @@
     case State::Status:
       return NextInStatus(aByte);
     case State::Reason:
-      return aByte == '\n' ? State::Complete : State::Reason;
+      return NextInReason(aByte);
+    case State::LineEnd:
+      return aByte == '\n' ? State::Complete : State::Invalid;
     case State::Complete:
     case State::Invalid:
       break;
@@ -37,10 +39,8 @@
 
 StatusLineCheck::State StatusLineCheck::NextInStatus(char aByte) {
   if (mDigits == kStatusDigits) {
-    if (aByte == '\n') {
-      return State::Complete;
-    }
-    return aByte == ' ' || aByte == '\r' ? State::Reason : State::Invalid;
+    return aByte == ' ' || IsLineEnd(aByte) ? NextInReason(aByte)
+                                            : State::Invalid;
   }
   const char first = mDigits == 0 ? '1' : '0';
   const char last = mDigits == 0 ? '5' : '9';
@@ -48,4 +48,11 @@
   return aByte >= first && aByte <= last ? State::Status : State::Invalid;
 }
 
+StatusLineCheck::State StatusLineCheck::NextInReason(char aByte) {
+  if (aByte == '\r') {
+    return State::LineEnd;
+  }
+  return aByte == '\n' ? State::Complete : State::Reason;
+}
+
 }  // namespace papayawheel
--- a/drivers/status_line.h
+++ b/drivers/status_line.h
@@ -15,10 +15,20 @@
   [[nodiscard]] bool IsComplete() const { return mState == State::Complete; }
 
  private:
-  enum class State { Start, Version, Status, Reason, Complete, Invalid };
+  enum class State {
+    Start,
+    Version,
+    Status,
+    Reason,
+    /** After the carriage return. */
+    LineEnd,
+    Complete,
+    Invalid,
+  };
 
   [[nodiscard]] State Next(char aByte);
   [[nodiscard]] State NextInStatus(char aByte);
+  static State NextInReason(char aByte);
 
   State mState = State::Start;
   std::size_t mDigits = 0;
--- a/tests/drivers/test_field_lines.cpp
+++ b/tests/drivers/test_field_lines.cpp
@@ -103,6 +103,26 @@
   }
 }
 
+// Guards against a body or a field that lacks a byte, which the parser takes
+// for the end of the line.
+TEST_CASE("answer parser: a carriage return that ends no line") {
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string chunks =
+      status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (const std::string& text :
+       {"HTTP/1.1 200 OK\rContent-Length: 1\r\n" + length + "\r\nok",
+        "HTTP/1.1 200\rX" + length + "\r\nok",
+        "HTTP/1.1 103 Early Hints\r" + status + length + "\r\nok",
+        status + "\rX: y\r\n" + length + "\r\nok", status + length + "\rXok",
+        status + length + "\r\rok",
+        status + "X: a\rY: b\r\n" + length + "\r\nok",
+        status + "X:\r" + length + "\r\nok", chunks + "\rX",
+        chunks + "X: y\r\n\rX", chunks + "X: y\rZ: y\r\n\r\n"}) {
+    CheckParser(text, Result::Malformed);
+  }
+}
+
 TEST_CASE("answer parser: field lines in order are accepted") {
   for (const Lines& lines : ValidLines()) {
     for (const std::string& text : AnswersWith(lines)) {
