Answer parser: chunks that do not end after their size are malformed

What callers saw: an answer in chunks whose stated size is not that of the chunk reached them as a whole one with bytes left out: "2\r\nokXX0\r\n\r\n" gave "ok", and "2\r\nokay5\r\nthere" gave "okthere".

Cause: http_parser without its strict mode skips two bytes after a chunk, and one after the carriage return of a chunk size, whatever they are.

Change: the parser stops after each chunk and chunk size, and Feed() requires that the bytes before are the end of a line. They may have come in two reads, so the last two bytes are kept.

Tests, on the code before: "answer parser: chunks that do not end after their size" failed in all its 28 checks (seven texts, in pieces of 1, 2, 3 and 5,000 bytes); well-formed chunks were accepted.

--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -1,5 +1,6 @@
 #include "drivers/answer_parser.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <utility>
 
@@ -17,6 +18,8 @@
 constexpr int kNoBodyFollows = 1;
 constexpr int kAbort = -1;
 
+constexpr std::string_view kLineEnd = "\r\n";
+
 /** The parser's content length for a body whose length is not stated. */
 constexpr std::uint64_t kNoLength = ~std::uint64_t{0};
 
@@ -32,6 +35,7 @@
   mSettings.on_header_value = &AnswerParser::OnValue;
   mSettings.on_headers_complete = &AnswerParser::OnHeaders;
   mSettings.on_chunk_header = &AnswerParser::OnChunkHeader;
+  mSettings.on_chunk_complete = &AnswerParser::OnChunkComplete;
   mSettings.on_body = &AnswerParser::OnBody;
   mSettings.on_message_complete = &AnswerParser::OnComplete;
   StartAnswer(false);
@@ -47,6 +51,8 @@
   mIsHead = aIsHead;
   mHasBegun = false;
   mInValue = false;
+  mLastBytes.clear();
+  mIsAtLineEnd = false;
   mComplete = false;
   mKeepsConnection = false;
 }
@@ -61,6 +67,7 @@
     }
     const std::size_t parsed =
         http_parser_execute(&mParser, &mSettings, aData + aUsed, aSize - aUsed);
+    KeepLastBytes({aData + aUsed, parsed});
     aUsed += parsed;
     const auto error = HTTP_PARSER_ERRNO(&mParser);
     if ((error != HPE_OK && error != HPE_PAUSED) || mParser.upgrade != 0) {
@@ -69,6 +76,10 @@
     if (error == HPE_PAUSED) {
       http_parser_pause(&mParser, 0);
     }
+    // The parser takes any two bytes for the end of a chunk or of its size.
+    if (std::exchange(mIsAtLineEnd, false) && mLastBytes != kLineEnd) {
+      return Result::Malformed;
+    }
   }
   return mComplete ? Result::Complete : Result::Incomplete;
 }
@@ -92,6 +103,19 @@
   return mHeadBytes <= mLimits.mMaxHead;
 }
 
+void AnswerParser::KeepLastBytes(std::string_view aBytes) {
+  const std::size_t added = std::min(aBytes.size(), kLineEnd.size());
+  mLastBytes.append(aBytes.substr(aBytes.size() - added));
+  mLastBytes.erase(
+      0, mLastBytes.size() - std::min(mLastBytes.size(), kLineEnd.size()));
+}
+
+int AnswerParser::StopAtLineEnd() {
+  mIsAtLineEnd = true;
+  http_parser_pause(&mParser, 1);
+  return kContinue;
+}
+
 int AnswerParser::OnField(http_parser* aParser, const char* aData,
                           std::size_t aSize) {
   AnswerParser& self = Owner(aParser);
@@ -138,13 +162,17 @@
 }
 
 int AnswerParser::OnChunkHeader(http_parser* aParser) {
+  AnswerParser& self = Owner(aParser);
   const bool isLast = aParser->content_length == 0;
   if (isLast) {
-    Owner(aParser).mHeadCheck.StartTrailers();
-    // Stops here, as the next bytes are to be checked.
-    http_parser_pause(aParser, 1);
+    self.mHeadCheck.StartTrailers();
   }
-  return kContinue;
+  return self.StopAtLineEnd();
+}
+
+int AnswerParser::OnChunkComplete(http_parser* aParser) {
+  const bool isLast = (aParser->flags & F_TRAILING) != 0;
+  return isLast ? kContinue : Owner(aParser).StopAtLineEnd();
 }
 
 int AnswerParser::OnBody(http_parser* aParser, const char* aData,
--- a/drivers/answer_parser.h
+++ b/drivers/answer_parser.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/outcome/response.h"
 #include "drivers/answer_head.h"
@@ -52,12 +53,16 @@
  private:
   /** Counts bytes of the head; false if they exceed the limit. */
   bool CountHeadBytes(std::size_t aSize);
+  void KeepLastBytes(std::string_view aBytes);
+  /** Stops the parser after the end of a line. Feed() checks that it is one. */
+  int StopAtLineEnd();
   static int OnField(http_parser* aParser, const char* aData,
                      std::size_t aSize);
   static int OnValue(http_parser* aParser, const char* aData,
                      std::size_t aSize);
   static int OnHeaders(http_parser* aParser);
   static int OnChunkHeader(http_parser* aParser);
+  static int OnChunkComplete(http_parser* aParser);
   static int OnBody(http_parser* aParser, const char* aData, std::size_t aSize);
   static int OnComplete(http_parser* aParser);
 
@@ -75,6 +80,10 @@
   bool mIsHead = false;
   bool mHasBegun = false;
   bool mInValue = false;
+  /** The last bytes that were parsed, as many as end a line. */
+  std::string mLastBytes;
+  /** Whether the bytes that were parsed must end with the end of a line. */
+  bool mIsAtLineEnd = false;
   bool mComplete = false;
   bool mKeepsConnection = false;
 };
--- /dev/null
+++ b/tests/drivers/test_answer_bodies.cpp
@@ -0,0 +1,48 @@
+// Answers whose body does not end where the endpoint ended it.
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "tests/drivers/answer_texts.h"
+
+namespace papayawheel {
+namespace {
+
+using Result = AnswerParser::Result;
+
+const std::string kChunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against a caller that gets a body with bytes left out, because an
+// endpoint stated wrong sizes of chunks.
+TEST_CASE("answer parser: chunks that do not end after their size") {
+  for (const std::string chunks :
+       {"2\r\nokXX0\r\n\r\n", "2\r\nok\rX0\r\n\r\n", "2\r\nokX\n0\r\n\r\n",
+        "2\r\nokay5\r\nthere\r\n0\r\n\r\n", "2\rXok\r\n0\r\n\r\n",
+        "2;name=value\rXok\r\n0\r\n\r\n", "2\r\nok\r\n0\rX\r\n"}) {
+    for (const std::size_t piece : {1, 2, 3, 5000}) {
+      CAPTURE(chunks);
+      CAPTURE(piece);
+      AnswerParser parser;
+      CHECK(FeedAll(parser, kChunked + chunks, piece) == Result::Malformed);
+    }
+  }
+}
+
+TEST_CASE("answer parser: chunks that end after their size") {
+  for (const std::string chunks :
+       {"2\r\nok\r\n0\r\n\r\n", "1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        "2;name=value\r\nok\r\n0;name\r\n\r\n", "2 \r\nok\r\n000\r\n\r\n"}) {
+    for (const std::size_t piece : {1, 2, 3, 5000}) {
+      CAPTURE(chunks);
+      CAPTURE(piece);
+      AnswerParser parser;
+      CHECK(FeedAll(parser, kChunked + chunks, piece) == Result::Complete);
+      CHECK(parser.Take()->mBody == "ok");
+    }
+  }
+}
+
+}  // namespace
+}  // namespace papayawheel
