Answer parser: an answer with status 204 or 304 ends with its head

What callers saw: an endpoint sent 204 or 304 with a body; the caller got the body after a head that excludes one, so on a kept connection it would read those bytes as the begin of the next answer. A 304 that states the length of the page, as RFC 9110 (8.6) allows, came only when its deadline had ended it.

Cause: http_parser looks at these statuses only if no length is stated. Only the answer to HEAD was told to end with its head.

Change: OnHeaders tells the parser so for 204 and 304 too. The two statuses stand in one place, ExcludesBody(), for both clients; libcurl already knew them.

--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <utility>
 
+#include "drivers/status_line.h"
+
 namespace papayawheel {
 namespace {
 
@@ -145,7 +147,7 @@
 int AnswerParser::OnHeaders(http_parser* aParser) {
   AnswerParser& self = Owner(aParser);
   self.mResponse->mStatus = static_cast<int>(aParser->status_code);
-  if (self.mIsHead) {
+  if (self.mIsHead || ExcludesBody(self.mResponse->mStatus)) {
     return kNoBodyFollows;
   }
   // A body whose stated length exceeds the limit is rejected before it arrives.
--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 
 #include "drivers/answer_head.h"
+#include "drivers/status_line.h"
 
 namespace papayawheel {
 namespace {
@@ -34,8 +35,7 @@
 
 bool IsSelfDelimited(const HttpTransfer& aTransfer) {
   const HttpResult& result = aTransfer.mResult;
-  const bool bodiless =
-      aTransfer.mIsHead || result.mStatus == 204 || result.mStatus == 304;
+  const bool bodiless = aTransfer.mIsHead || ExcludesBody(result.mStatus);
   return bodiless || result.mHeaders.contains("content-length") ||
          ToLower(result.Header("transfer-encoding")) == "chunked";
 }
--- a/drivers/status_line.cpp
+++ b/drivers/status_line.cpp
@@ -4,11 +4,17 @@
 namespace {
 
 constexpr std::size_t kStatusDigits = 3;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 
 bool IsLineEnd(char aByte) { return aByte == '\r' || aByte == '\n'; }
 
 }  // namespace
 
+bool ExcludesBody(int aStatus) {
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
 bool StatusLineCheck::Feed(char aByte) {
   mState = Next(aByte);
   return mState != State::Invalid;
--- a/drivers/status_line.h
+++ b/drivers/status_line.h
@@ -4,6 +4,9 @@
 
 namespace papayawheel {
 
+/** Whether an answer with this status has no body, whatever its fields say. */
+bool ExcludesBody(int aStatus);
+
 /** Checks the status line of an HTTP answer as its bytes arrive. The status
  * must be three digits from 100 to 599; the HTTP libraries accept others. */
 class StatusLineCheck {
--- a/tests/drivers/test_answer_bodies.cpp
+++ b/tests/drivers/test_answer_bodies.cpp
@@ -44,5 +44,23 @@
   }
 }
 
+// Guards against a caller whose next answer begins with the body of one that
+// has none, or that waits for a body which never comes.
+TEST_CASE("answer parser: an answer whose status excludes a body") {
+  for (const std::string status : {"204 No Content", "304 Not Modified"}) {
+    for (const std::string rest :
+         {"\r\n", "Content-Length: 2\r\n\r\n", "Content-Length: 2\r\n\r\nok",
+          "Transfer-Encoding: chunked\r\n\r\n",
+          "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"}) {
+      CAPTURE(status);
+      CAPTURE(rest);
+      AnswerParser parser;
+      const std::string text = "HTTP/1.1 " + status + "\r\nX: y\r\n" + rest;
+      CHECK(FeedAll(parser, text, text.size()) == Result::Complete);
+      CHECK(parser.Take()->mBody.empty());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
