Answer parser: an unknown transfer coding makes an answer malformed

What callers saw: an endpoint that sent an answer with a transfer coding other than chunks ("gzip", "xchunked", "chunked, gzip") had its coded bytes passed on as the body of a whole answer; the field that names the coding ends at each hop.

Cause: http_parser reads such an answer up to the end of the connection and does not decode it. For "gzip, chunked" it decodes the chunks only.

Change: each Transfer-Encoding of a head must be "chunked" or "identity", which codes nothing; requests ask for no other (RFC 9112, 6.1). Else the answer is malformed.

--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <utility>
 
+#include "drivers/header_text.h"
 #include "drivers/status_line.h"
 
 namespace papayawheel {
@@ -150,6 +151,9 @@
   if (self.mIsHead || ExcludesBody(self.mResponse->mStatus)) {
     return kNoBodyFollows;
   }
+  if (!IsTransferCodingKnown(self.mResponse->mHeaders)) {
+    return kAbort;
+  }
   // A body whose stated length exceeds the limit is rejected before it arrives.
   const bool hasLength = aParser->content_length != kNoLength;
   if (!hasLength) {
--- a/drivers/header_text.cpp
+++ b/drivers/header_text.cpp
@@ -76,6 +76,15 @@
   return std::nullopt;
 }
 
+bool IsTransferCodingKnown(const HeaderList& aHeaders) {
+  return std::all_of(aHeaders.begin(), aHeaders.end(), [](const auto& aHeader) {
+    const auto& [name, value] = aHeader;
+    const std::string_view coding = Trim(value);
+    return !IsSameName(name, "transfer-encoding") ||
+           IsSameName(coding, "chunked") || IsSameName(coding, "identity");
+  });
+}
+
 HeaderList EndToEndHeaders(const HeaderList& aHeaders) {
   std::vector<std::string_view> dropped(kHopByHopHeaders.begin(),
                                         kHopByHopHeaders.end());
--- a/drivers/header_text.h
+++ b/drivers/header_text.h
@@ -20,6 +20,10 @@
 std::optional<std::chrono::seconds> ParseKeepAliveTimeout(
     std::string_view aValue);
 
+/** Whether a message is sent in chunks or as it is. Other transfer codings are
+ * not decoded. */
+bool IsTransferCodingKnown(const HeaderList& aHeaders);
+
 /** Returns the end-to-end headers: all but the hop-by-hop headers of HTTP and
  * those that the Connection header lists. */
 HeaderList EndToEndHeaders(const HeaderList& aHeaders);
--- a/tests/drivers/test_answer_bodies.cpp
+++ b/tests/drivers/test_answer_bodies.cpp
@@ -62,5 +62,30 @@
   }
 }
 
+// Guards against a caller that gets coded bytes for the body.
+TEST_CASE("answer parser: a transfer coding that was not asked for") {
+  for (const std::string coding : {"gzip", "xchunked", "chunked, gzip",
+                                   "gzip, chunked", "chunked, identity"}) {
+    CAPTURE(coding);
+    AnswerParser parser;
+    const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                             "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+    Result result = FeedAll(parser, text, text.size());
+    if (result == Result::Incomplete) {
+      result = parser.FeedEnd();
+    }
+    CHECK(result == Result::Malformed);
+  }
+}
+
+TEST_CASE("answer parser: names of transfer codings are read without case") {
+  AnswerParser parser;
+  const std::string text =
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked \r\n\r\n2\r\nok\r\n0"
+      "\r\n\r\n";
+  CHECK(FeedAll(parser, text, text.size()) == Result::Complete);
+  CHECK(parser.Take()->mBody == "ok");
+}
+
 }  // namespace
 }  // namespace papayawheel
