HTTP client: an answer that begins with a blank no longer ends the process

What callers saw: an entry whose endpoint sent an answer with a blank at the begin of its first field line ended with "free(): double free detected"; its callers' connections broke. A gateway asks the store and other hosts with the same client.

Cause: libcurl 7.88 appends such a line to the field before it, of which it keeps a pointer. The pointer outlives the end of the transfer and curl_easy_reset(), so with a handle that was used before it points to a field of an earlier answer, which has been freed. HttpClient kept handles in a pool.

Change: each transfer has a handle of its own. Connections stay open as before, as they belong to the multi handle.

Why this holds: within one transfer the field before is still there.

--- a/drivers/http_client.cpp
+++ b/drivers/http_client.cpp
@@ -9,7 +9,6 @@
 #include <asio/steady_timer.hpp>
 #include <unordered_map>
 #include <utility>
-#include <vector>
 
 #include "drivers/http_transfer.h"
 
@@ -22,7 +21,6 @@
  * about to close them. */
 constexpr long kMaxIdleSeconds = 20;
 constexpr std::chrono::milliseconds kConnectTimeout{500};
-constexpr std::size_t kMaxPooledHandles = 512;
 
 /** Interval of TCP keep-alive probes on a connection that waits for an
  * answer. */
@@ -52,11 +50,7 @@
   ~Impl() {
     for (auto& [id, transfer] : mTransfers) {
       curl_multi_remove_handle(mMulti, transfer->mHandle);
-      curl_slist_free_all(transfer->mHeaders);
-      curl_easy_cleanup(transfer->mHandle);
-    }
-    for (CURL* handle : mPool) {
-      curl_easy_cleanup(handle);
+      FreeHandle(*transfer);
     }
     curl_multi_cleanup(mMulti);
   }
@@ -71,7 +65,9 @@
     transfer->mCallback = std::move(aCallback);
     transfer->mMaxAnswer = aCall.mMaxAnswer;
     transfer->mIsHead = aCall.mMethod == "HEAD";
-    transfer->mHandle = TakeHandle();
+    // A new handle each time: libcurl 7.88 reads memory that it has freed if a
+    // reused one gets an answer whose first field line begins with a blank.
+    transfer->mHandle = curl_easy_init();
     Prepare(*transfer, aCall);
     const Id id = transfer->mId;
     CURL* const handle = transfer->mHandle;
@@ -88,7 +84,7 @@
     const std::unique_ptr<HttpTransfer> transfer = std::move(found->second);
     mTransfers.erase(found);
     curl_multi_remove_handle(mMulti, transfer->mHandle);
-    ReturnHandle(*transfer);
+    FreeHandle(*transfer);
   }
 
  private:
@@ -103,24 +99,9 @@
     bool mWriting = false;
   };
 
-  CURL* TakeHandle() {
-    if (mPool.empty()) {
-      return curl_easy_init();
-    }
-    CURL* const handle = mPool.back();
-    mPool.pop_back();
-    return handle;
-  }
-
-  void ReturnHandle(HttpTransfer& aTransfer) {
+  static void FreeHandle(const HttpTransfer& aTransfer) {
     curl_slist_free_all(aTransfer.mHeaders);
-    aTransfer.mHeaders = nullptr;
-    if (mPool.size() >= kMaxPooledHandles) {
-      curl_easy_cleanup(aTransfer.mHandle);
-      return;
-    }
-    curl_easy_reset(aTransfer.mHandle);
-    mPool.push_back(aTransfer.mHandle);
+    curl_easy_cleanup(aTransfer.mHandle);
   }
 
   void Prepare(HttpTransfer& aTransfer, const HttpCall& aCall) {
@@ -303,7 +284,7 @@
       transfer->mResult.mStatus = 0;
     }
     curl_multi_remove_handle(mMulti, aHandle);
-    ReturnHandle(*transfer);
+    FreeHandle(*transfer);
     transfer->mCallback(std::move(transfer->mResult));
   }
 
@@ -315,7 +296,6 @@
   std::size_t mUnfinishedBytes = 0;
   std::unordered_map<Id, std::unique_ptr<HttpTransfer>> mTransfers;
   std::unordered_map<curl_socket_t, std::shared_ptr<SocketWatch>> mWatches;
-  std::vector<CURL*> mPool;
 };
 
 HttpClient::HttpClient(asio::io_context& aContext)
--- a/tests/drivers/answer_texts.cpp
+++ b/tests/drivers/answer_texts.cpp
@@ -68,16 +68,26 @@
   return answer;
 }
 
-std::optional<HttpResult> HttpResultFor(const std::string& aText) {
+std::vector<HttpResult> HttpResultsFor(const std::vector<std::string>& aTexts) {
   asio::io_context context(1);
-  TextServer server(context, aText);
   HttpClient client(context);
-  HttpCall call;
-  call.mAddress = server.Address();
-  std::optional<HttpResult> result;
-  client.Send(call, [&](const HttpResult& aResult) { result = aResult; });
-  context.run_for(std::chrono::seconds(2));
-  return result;
+  std::vector<HttpResult> results;
+  for (const std::string& text : aTexts) {
+    TextServer server(context, text);
+    HttpCall call;
+    call.mAddress = server.Address();
+    client.Send(call, [&results](const HttpResult& aResult) {
+      results.push_back(aResult);
+    });
+    context.restart();
+    context.run_for(std::chrono::seconds(2));
+  }
+  return results;
+}
+
+std::optional<HttpResult> HttpResultFor(const std::string& aText) {
+  const std::vector<HttpResult> results = HttpResultsFor({aText});
+  return results.empty() ? std::nullopt : std::optional(results.front());
 }
 
 }  // namespace papayawheel
--- a/tests/drivers/answer_texts.h
+++ b/tests/drivers/answer_texts.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "drivers/answer_parser.h"
 #include "drivers/endpoint_client.h"
@@ -20,4 +21,7 @@
 /** The same for the client for the store and hosts. */
 std::optional<HttpResult> HttpResultFor(const std::string& aText);
 
+/** The same for requests that one client sends in turn, one for each text. */
+std::vector<HttpResult> HttpResultsFor(const std::vector<std::string>& aTexts);
+
 }  // namespace papayawheel
