HTTP client: each line of a head is checked by its place

What callers of an entry saw: an answer of an endpoint with a malformed field name (a blank, a tab, a control byte, DEL, a byte above 127, no name, a line that continues the one before) came as 200 with that line passed on as a field. And a status of 000, 099, 600 or 999 after "http/1.1" in small letters came as 200. The answers of the store and of other hosts are read by the same client.

Cause: libcurl passes lines of a head on as they came. HttpTransfer took those that begin with "HTTP/" for status lines and split all others at their colon, or left them out. libcurl accepts the protocol's name in any case, and then no check saw the status.

Change: HttpTransfer feeds each line to AnswerHeadCheck, as the client for endpoints does: the first line of each head is a status line and must begin with "HTTP/", all others are field lines, those after the head are trailers. A malformed line makes the result Cut. So do the lines that libcurl rejects with CURLE_BAD_FUNCTION_ARGUMENT, which counted as a lost connection, for an entry a sign that the endpoint had crashed.

Tests, on the code before: "http client: an answer with a malformed name is none" failed in 116 of its 228 checks, "http client: an invalid status after another protocol name" in 20 of 45, malformed_heads at its first field line (its four statuses held). Now they pass, with the other tests of both clients and truncated_answer, aarch64.

--- a/drivers/answer_head.cpp
+++ b/drivers/answer_head.cpp
@@ -4,11 +4,11 @@
 
 bool AnswerHeadCheck::Feed(std::string_view aBytes) {
   for (const char byte : aBytes) {
-    if (mFieldLines.IsComplete()) {
+    if (IsComplete()) {
       break;
     }
-    const bool isValid = mStatusLine.IsComplete() ? mFieldLines.Feed(byte)
-                                                  : mStatusLine.Feed(byte);
+    const bool isValid =
+        IsAtStatusLine() ? mStatusLine.Feed(byte) : mFieldLines.Feed(byte);
     if (!isValid) {
       return false;
     }
--- a/drivers/answer_head.h
+++ b/drivers/answer_head.h
@@ -14,6 +14,15 @@
    * Returns false once the head is malformed. */
   bool Feed(std::string_view aBytes);
 
+  /** Whether the end of the head, or of the trailers, has been read. */
+  [[nodiscard]] bool IsComplete() const { return mFieldLines.IsComplete(); }
+  /** Whether the head is that of an interim answer. */
+  [[nodiscard]] bool IsInterim() const { return mStatusLine.IsInterim(); }
+  /** Whether the next byte belongs to the status line. */
+  [[nodiscard]] bool IsAtStatusLine() const {
+    return !mStatusLine.IsComplete();
+  }
+
   /** Prepares for the trailers of the answer, which end like a head. */
   void StartTrailers();
 
--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -4,7 +4,6 @@
 #include <cctype>
 #include <cerrno>
 
-#include "drivers/answer_head.h"
 #include "drivers/status_line.h"
 
 namespace papayawheel {
@@ -65,12 +64,13 @@
   transfer.mHeadBytes += bytes;
   const std::string line(aData, bytes);
   HttpResult& result = transfer.mResult;
-  if (line.starts_with("HTTP/")) {
-    if (!AnswerHeadCheck().Feed(line)) {
-      transfer.mHasInvalidStatus = true;
-      return 0;
-    }
-    // A status line: the headers before it belong to an interim answer.
+  const bool isStatusLine = transfer.BeginLine();
+  if (!transfer.mHeadCheck.Feed(line)) {
+    transfer.mHasMalformedLine = true;
+    return 0;
+  }
+  if (isStatusLine) {
+    // The headers before it belong to an interim answer.
     result.mHeaders.clear();
     result.mAllHeaders.clear();
     return bytes;
@@ -93,6 +93,17 @@
   return true;
 }
 
+bool HttpTransfer::BeginLine() {
+  if (mHeadCheck.IsComplete()) {
+    if (mHeadCheck.IsInterim()) {
+      mHeadCheck = AnswerHeadCheck();
+    } else {
+      mHeadCheck.StartTrailers();
+    }
+  }
+  return mHeadCheck.IsAtStatusLine();
+}
+
 int HttpTransfer::OnBeforeWrite(void* aTransfer, char* /*aRemoteIp*/,
                                 char* /*aLocalIp*/, int /*aRemotePort*/,
                                 int /*aLocalPort*/) {
@@ -120,10 +131,11 @@
   if (aCode == CURLE_OPERATION_TIMEDOUT) {
     return HttpResultKind::TimedOut;
   }
-  // libcurl itself rejects some status lines.
-  const bool isMalformed = mHasInvalidStatus ||
+  // libcurl itself rejects some lines, with these codes.
+  const bool isMalformed = mHasMalformedLine ||
                            aCode == CURLE_UNSUPPORTED_PROTOCOL ||
-                           aCode == CURLE_WEIRD_SERVER_REPLY;
+                           aCode == CURLE_WEIRD_SERVER_REPLY ||
+                           aCode == CURLE_BAD_FUNCTION_ARGUMENT;
   return mResult.mHeaders.empty() && !isMalformed ? HttpResultKind::Lost
                                                   : HttpResultKind::Cut;
 }
--- a/drivers/http_transfer.h
+++ b/drivers/http_transfer.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 
+#include "drivers/answer_head.h"
 #include "drivers/http_client.h"
 
 namespace papayawheel {
@@ -34,8 +35,8 @@
   bool mIsHead = false;
   /** Set before the request is written to a connection. */
   bool mWritten = false;
-  /** Whether the status of the answer is invalid. */
-  bool mHasInvalidStatus = false;
+  /** Whether a line of a head or of the trailers is malformed. */
+  bool mHasMalformedLine = false;
 
   /** Callbacks for libcurl, which get the transfer as aTransfer. */
   static std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount,
@@ -53,6 +54,13 @@
   /** Counts bytes that are going to be stored. Returns false if the unfinished
    * answers of the client are too large with them. */
   bool Reserve(std::size_t aBytes);
+
+  /** Prepares for the next line of a head or of the trailers. Returns whether
+   * it is a status line. */
+  bool BeginLine();
+
+  /** Checks the answer, final or interim, that is being read. */
+  AnswerHeadCheck mHeadCheck;
 };
 
 }  // namespace papayawheel
--- a/drivers/status_line.cpp
+++ b/drivers/status_line.cpp
@@ -1,8 +1,11 @@
 #include "drivers/status_line.h"
 
+#include <string_view>
+
 namespace papayawheel {
 namespace {
 
+constexpr std::string_view kProtocolName = "HTTP/";
 constexpr std::size_t kStatusDigits = 3;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
@@ -24,12 +27,9 @@
   switch (mState) {
     case State::Start:
       // Some servers send an empty line after the previous answer.
-      return IsLineEnd(aByte) ? State::Start : State::Version;
+      return IsLineEnd(aByte) ? State::Start : NextInVersion(aByte);
     case State::Version:
-      if (IsLineEnd(aByte)) {
-        return State::Invalid;
-      }
-      return aByte == ' ' ? State::Status : State::Version;
+      return NextInVersion(aByte);
     case State::Status:
       return NextInStatus(aByte);
     case State::Reason:
@@ -43,6 +43,18 @@
   return mState;
 }
 
+StatusLineCheck::State StatusLineCheck::NextInVersion(char aByte) {
+  if (mNameBytes < kProtocolName.size()) {
+    const bool matches = aByte == kProtocolName[mNameBytes];
+    ++mNameBytes;
+    return matches ? State::Version : State::Invalid;
+  }
+  if (IsLineEnd(aByte)) {
+    return State::Invalid;
+  }
+  return aByte == ' ' ? State::Status : State::Version;
+}
+
 StatusLineCheck::State StatusLineCheck::NextInStatus(char aByte) {
   if (mDigits == kStatusDigits) {
     return aByte == ' ' || IsLineEnd(aByte) ? NextInReason(aByte)
@@ -50,6 +62,7 @@
   }
   const char first = mDigits == 0 ? '1' : '0';
   const char last = mDigits == 0 ? '5' : '9';
+  mIsInterim = mIsInterim || (mDigits == 0 && aByte == first);
   ++mDigits;
   return aByte >= first && aByte <= last ? State::Status : State::Invalid;
 }
--- a/tests/drivers/test_field_lines.cpp
+++ b/tests/drivers/test_field_lines.cpp
@@ -141,5 +141,31 @@
   }
 }
 
+TEST_CASE("http client: an answer with a malformed name is none") {
+  std::vector<Lines> malformed = MalformedNames();
+  malformed.insert(malformed.end(), {" Bad: x\r\n", "Name: x\r\n Bad: x\r\n"});
+  for (const Lines& lines : malformed) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CAPTURE(text);
+      const auto result = HttpResultFor(text);
+      REQUIRE(result);
+      CHECK(result->mKind == HttpResultKind::Cut);
+      CHECK(result->mStatus == 0);
+    }
+  }
+}
+
+TEST_CASE("http client: field lines in order are accepted") {
+  for (const Lines& lines : ValidLines()) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CAPTURE(text);
+      const auto result = HttpResultFor(text);
+      REQUIRE(result);
+      CHECK(result->mKind == HttpResultKind::Answered);
+      CHECK(result->mBody == "ok");
+    }
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
--- a/tests/drivers/test_status_lines.cpp
+++ b/tests/drivers/test_status_lines.cpp
@@ -97,5 +97,21 @@
   }
 }
 
+// libcurl takes other spellings of the protocol's name than the checks
+// expected.
+TEST_CASE("http client: an invalid status after another protocol name") {
+  for (const std::string protocol : {"http/1.1", "Http/1.1", "HTTP/2"}) {
+    for (const std::string status : {"000", "099", "600", "999", "200x"}) {
+      CAPTURE(protocol);
+      CAPTURE(status);
+      const auto result = HttpResultFor(protocol + " " + status +
+                                        " Odd\r\nContent-Length: 2\r\n\r\nok");
+      REQUIRE(result);
+      CHECK(result->mKind == HttpResultKind::Cut);
+      CHECK(result->mStatus == 0);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
