Answers: a control byte in a field value makes an answer malformed

What callers saw: an answer with a control byte at the begin of a field value (NUL, ESC and others) came through a gateway as 200 with that value; through an entry, one with a control byte, DEL or a lone carriage return anywhere in it.

Cause: http_parser does not look at the first byte of a value. libcurl refuses NUL only.

Change: FieldLinesCheck, which both clients use, takes tabs and printable bytes in values, and those above 127, and refuses the others.

--- a/drivers/field_lines.cpp
+++ b/drivers/field_lines.cpp
@@ -16,6 +16,13 @@
          kNamePunctuation.find(aByte) != std::string_view::npos;
 }
 
+bool IsValueByte(char aByte) {
+  constexpr unsigned char kFirstPrintable = ' ';
+  constexpr unsigned char kDelete = 0x7f;
+  const auto byte = static_cast<unsigned char>(aByte);
+  return aByte == '\t' || (byte >= kFirstPrintable && byte != kDelete);
+}
+
 }  // namespace
 
 bool FieldLinesCheck::Feed(char aByte) {
@@ -61,7 +68,10 @@
   if (aByte == '\r') {
     return State::LineEnd;
   }
-  return aByte == '\n' ? State::LineStart : State::Value;
+  if (aByte == '\n') {
+    return State::LineStart;
+  }
+  return IsValueByte(aByte) ? State::Value : State::Invalid;
 }
 
 }  // namespace papayawheel
--- a/tests/drivers/test_field_lines.cpp
+++ b/tests/drivers/test_field_lines.cpp
@@ -37,6 +37,11 @@
           "nocolon\r\n"};
 }
 
+std::vector<Lines> MalformedValues() {
+  return {"Name: a\x01\r\n", "Name: \0\r\n"s,     "Name:\x1f x\r\n",
+          "Name: a\x7f\r\n", "Name: \x1b[2J\r\n", "Name: a\rName: b\r\n"};
+}
+
 std::vector<Lines> ValidLines() {
   return {"",
           "Name: x\r\n",
@@ -74,6 +79,14 @@
   }
 }
 
+void CheckNoAnswer(const std::string& aText) {
+  CAPTURE(aText);
+  const auto result = HttpResultFor(aText);
+  REQUIRE(result);
+  CHECK(result->mKind == HttpResultKind::Cut);
+  CHECK(result->mStatus == 0);
+}
+
 // Guards against a caller that gets an answer with a line that is no header
 // field, or whose body ends where a misspelt field does not say.
 TEST_CASE("answer parser: a malformed name makes an answer malformed") {
@@ -146,11 +159,23 @@
   malformed.insert(malformed.end(), {" Bad: x\r\n", "Name: x\r\n Bad: x\r\n"});
   for (const Lines& lines : malformed) {
     for (const std::string& text : AnswersWith(lines)) {
-      CAPTURE(text);
-      const auto result = HttpResultFor(text);
-      REQUIRE(result);
-      CHECK(result->mKind == HttpResultKind::Cut);
-      CHECK(result->mStatus == 0);
+      CheckNoAnswer(text);
+    }
+  }
+}
+
+TEST_CASE("answer parser: a malformed value makes an answer malformed") {
+  for (const Lines& lines : MalformedValues()) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CheckParser(text, Result::Malformed);
+    }
+  }
+}
+
+TEST_CASE("http client: an answer with a malformed value is none") {
+  for (const Lines& lines : MalformedValues()) {
+    for (const std::string& text : AnswersWith(lines)) {
+      CheckNoAnswer(text);
     }
   }
 }
