HTTP client: an invalid length makes an answer incomplete

What callers of an entry saw: an answer of an endpoint with two different lengths, or one that is no number ("2x", "0x2", "+2", "2, 3"), came as whole with a part of its body, or with what had come when the connection ended.

Cause: libcurl takes the last Content-Length, and of each the digits that it begins with; one that is too large it takes for none.

Change: HttpTransfer accepts a Content-Length only if it is a number and equal to one before it. Else the result is Cut. http_parser, for gateways, refused all such answers already.

--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <cerrno>
 
+#include "core/base/parse_number.h"
 #include "drivers/status_line.h"
 
 namespace papayawheel {
@@ -17,6 +18,8 @@
  * hosts have 112 MB of memory. */
 constexpr std::size_t kMaxUnfinishedBytes = 32U << 20U;
 
+constexpr const char* kLengthHeader = "content-length";
+
 std::string ToLower(std::string aText) {
   std::transform(aText.begin(), aText.end(), aText.begin(),
                  [](unsigned char aByte) { return std::tolower(aByte); });
@@ -35,10 +38,21 @@
 bool IsSelfDelimited(const HttpTransfer& aTransfer) {
   const HttpResult& result = aTransfer.mResult;
   const bool bodiless = aTransfer.mIsHead || ExcludesBody(result.mStatus);
-  return bodiless || result.mHeaders.contains("content-length") ||
+  return bodiless || result.mHeaders.contains(kLengthHeader) ||
          ToLower(result.Header("transfer-encoding")) == "chunked";
 }
 
+/** Whether a value states the length of a body, and the same as a field before
+ * it. libcurl takes the last of several, and of each the digits that it begins
+ * with. */
+bool IsLengthValid(const HttpResult& aResult, const std::string& aValue) {
+  const auto before = aResult.mHeaders.find(kLengthHeader);
+  const bool differs =
+      before != aResult.mHeaders.end() && before->second != aValue;
+  return !differs && !aValue.starts_with('-') &&
+         ParseNumber<curl_off_t>(aValue).has_value();
+}
+
 }  // namespace
 
 std::size_t HttpTransfer::OnBody(char* aData, std::size_t aSize,
@@ -78,8 +92,13 @@
   const std::size_t colon = line.find(':');
   if (colon != std::string::npos) {
     const std::string name = line.substr(0, colon);
+    const std::string key = ToLower(name);
     const std::string value = Trim(line.substr(colon + 1));
-    result.mHeaders[ToLower(name)] = value;
+    if (key == kLengthHeader && !IsLengthValid(result, value)) {
+      transfer.mHasMalformedLine = true;
+      return 0;
+    }
+    result.mHeaders[key] = value;
     result.mAllHeaders.emplace_back(name, value);
   }
   return bytes;
@@ -132,10 +151,9 @@
     return HttpResultKind::TimedOut;
   }
   // libcurl itself rejects some lines, with these codes.
-  const bool isMalformed = mHasMalformedLine ||
-                           aCode == CURLE_UNSUPPORTED_PROTOCOL ||
-                           aCode == CURLE_WEIRD_SERVER_REPLY ||
-                           aCode == CURLE_BAD_FUNCTION_ARGUMENT;
+  const bool isMalformed =
+      mHasMalformedLine || aCode == CURLE_UNSUPPORTED_PROTOCOL ||
+      aCode == CURLE_WEIRD_SERVER_REPLY || aCode == CURLE_BAD_FUNCTION_ARGUMENT;
   return mResult.mHeaders.empty() && !isMalformed ? HttpResultKind::Lost
                                                   : HttpResultKind::Cut;
 }
--- a/tests/drivers/test_answer_bodies.cpp
+++ b/tests/drivers/test_answer_bodies.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <vector>
 
 #include "tests/drivers/answer_texts.h"
 
@@ -87,5 +88,54 @@
   CHECK(parser.Take()->mBody == "ok");
 }
 
+std::vector<std::string> InvalidLengths() {
+  return {"Content-Length: 2\r\nContent-Length: 1\r\n",
+          "Content-Length: 1\r\nContent-Length: 2\r\n",
+          "Content-Length: 2\r\ncontent-length: 3\r\n",
+          "Content-Length: 2x\r\n",
+          "Content-Length: 0x2\r\n",
+          "Content-Length: +2\r\n",
+          "Content-Length: -2\r\n",
+          "Content-Length: 2, 3\r\n",
+          "Content-Length: 2 2\r\n",
+          "Content-Length:\r\n",
+          "Content-Length: 9223372036854775808\r\n",
+          "Content-Length: 99999999999999999999\r\n"};
+}
+
+// Guards against a caller that gets a part of a body, or more than the body, as
+// the stated length is not one.
+TEST_CASE("answer parser: an invalid length makes an answer malformed") {
+  for (const std::string& lengths : InvalidLengths()) {
+    CAPTURE(lengths);
+    AnswerParser parser;
+    const std::string text = "HTTP/1.1 200 OK\r\n" + lengths + "\r\nok";
+    CHECK(FeedAll(parser, text, text.size()) == Result::Malformed);
+  }
+}
+
+TEST_CASE("http client: an answer with an invalid length is none") {
+  for (const std::string& lengths : InvalidLengths()) {
+    CAPTURE(lengths);
+    const auto result =
+        HttpResultFor("HTTP/1.1 200 OK\r\n" + lengths + "\r\nok");
+    REQUIRE(result);
+    CHECK(result->mKind == HttpResultKind::Cut);
+  }
+}
+
+TEST_CASE("http client: a valid length") {
+  for (const std::string length :
+       {"Content-Length: 2\r\n", "content-length:2 \r\n",
+        "Content-Length: \t002\r\n"}) {
+    CAPTURE(length);
+    const auto result =
+        HttpResultFor("HTTP/1.1 200 OK\r\n" + length + "\r\nok");
+    REQUIRE(result);
+    CHECK(result->mKind == HttpResultKind::Answered);
+    CHECK(result->mBody == "ok");
+  }
+}
+
 }  // namespace
 }  // namespace papayawheel
