--- a/tests/drivers/test_answer_bodies.cpp
+++ b/tests/drivers/test_answer_bodies.cpp
@@ -1,6 +1,7 @@
 // Answers whose body does not end where the endpoint ended it.
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <string>
 #include <vector>
@@ -56,7 +57,8 @@
       CAPTURE(status);
       CAPTURE(rest);
       AnswerParser parser;
-      const std::string text = "HTTP/1.1 " + status + "\r\nX: y\r\n" + rest;
+      const std::string text =
+          fmt::format("HTTP/1.1 {}\r\nX: y\r\n{}", status, rest);
       CHECK(FeedAll(parser, text, text.size()) == Result::Complete);
       CHECK(parser.Take()->mBody.empty());
     }
--- a/tests/drivers/test_field_lines.cpp
+++ b/tests/drivers/test_field_lines.cpp
@@ -2,6 +2,7 @@
 // upstreams in trouble send them.
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <string>
 #include <vector>
@@ -121,16 +122,17 @@
 TEST_CASE("answer parser: a carriage return that ends no line") {
   const std::string status = "HTTP/1.1 200 OK\r\n";
   const std::string length = "Content-Length: 2\r\n";
+  const std::string rest = length + "\r\nok";
   const std::string chunks =
       status + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
   for (const std::string& text :
-       {"HTTP/1.1 200 OK\rContent-Length: 1\r\n" + length + "\r\nok",
-        "HTTP/1.1 200\rX" + length + "\r\nok",
-        "HTTP/1.1 103 Early Hints\r" + status + length + "\r\nok",
-        status + "\rX: y\r\n" + length + "\r\nok", status + length + "\rXok",
+       {"HTTP/1.1 200 OK\rContent-Length: 1\r\n" + rest,
+        "HTTP/1.1 200\rX" + rest,
+        fmt::format("HTTP/1.1 103 Early Hints\r{}{}", status, rest),
+        fmt::format("{}\rX: y\r\n{}", status, rest), status + length + "\rXok",
         status + length + "\r\rok",
-        status + "X: a\rY: b\r\n" + length + "\r\nok",
-        status + "X:\r" + length + "\r\nok", chunks + "\rX",
+        fmt::format("{}X: a\rY: b\r\n{}", status, rest),
+        fmt::format("{}X:\r{}", status, rest), chunks + "\rX",
         chunks + "X: y\r\n\rX", chunks + "X: y\rZ: y\r\n\r\n"}) {
     CheckParser(text, Result::Malformed);
   }
--- a/tests/drivers/test_status_lines.cpp
+++ b/tests/drivers/test_status_lines.cpp
@@ -2,6 +2,7 @@
 // send them.
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <string>
 #include <vector>
@@ -104,8 +105,8 @@
     for (const std::string status : {"000", "099", "600", "999", "200x"}) {
       CAPTURE(protocol);
       CAPTURE(status);
-      const auto result = HttpResultFor(protocol + " " + status +
-                                        " Odd\r\nContent-Length: 2\r\n\r\nok");
+      const auto result = HttpResultFor(fmt::format(
+          "{} {} Odd\r\nContent-Length: 2\r\n\r\nok", protocol, status));
       REQUIRE(result);
       CHECK(result->mKind == HttpResultKind::Cut);
       CHECK(result->mStatus == 0);
