--- a/misc/fleet.sh
+++ b/misc/fleet.sh
@@ -168,6 +168,28 @@
   sleep 3
 }
 
+# start_misbehaving_small_fleet: starts a small fleet whose one endpoint is then
+# replaced by one that violates HTTP. Sets replaced_endpoint to the address of
+# the first one.
+start_misbehaving_small_fleet() {
+  start_small_fleet 1
+  replaced_endpoint="${endpoint_addresses[0]}"
+  endpoint_addresses=("127.0.0.1:$(free_port)")
+  start bad papayawheel-standin-misbehaving --address "${endpoint_addresses[0]}"
+  revision="$(publish fleet "$(small_fleet_json)")"
+  for address in "${addresses[@]}"; do wait_for 10 has_revision "$address" "$revision"; done
+}
+
+# outcome TARGET: sends one call to the first host of the small fleet and prints
+# the outcome that its answer reports. Its head and body are in $work/head and
+# $work/body.
+outcome() {
+  curl -sS --max-time 5 -o "$work/body" -D "$work/head" \
+    -H 'papayawheel-customer: roofers' -H 'papayawheel-service: orders' \
+    -H 'papayawheel-deadline-ms: 500' "http://${addresses[0]}$1"
+  sed -n 's/^papayawheel-outcome: \([a-z_]*\).*/\1/Ip' "$work/head"
+}
+
 # small_fleet_json [NAME]: prints the fleet document, in which the endpoint or
 # host NAME is draining (state "leaving").
 small_fleet_json() {
--- a/tests/process/truncated_answer.sh
+++ b/tests/process/truncated_answer.sh
@@ -4,22 +4,7 @@
 # again.
 set -euo pipefail
 source "$(dirname "$0")/../../misc/fleet.sh"
-start_small_fleet 1
-bad="127.0.0.1:$(free_port)"
-start bad papayawheel-standin-misbehaving --address "$bad"
-endpoint_addresses+=("$bad")
-old="${endpoint_addresses[0]}"
-endpoint_addresses=("$bad")
-revision="$(publish fleet "$(small_fleet_json)")"
-for address in "${addresses[@]}"; do wait_for 10 has_revision "$address" "$revision"; done
-# outcome TARGET: sends one call and prints the outcome that its answer reports.
-# Its head and body are in $work/head and $work/body.
-outcome() {
-  curl -sS --max-time 5 -o "$work/body" -D "$work/head" \
-    -H 'papayawheel-customer: roofers' -H 'papayawheel-service: orders' \
-    -H 'papayawheel-deadline-ms: 500' "http://${addresses[0]}$1"
-  sed -n 's/^papayawheel-outcome: \([a-z_]*\).*/\1/Ip' "$work/head"
-}
+start_misbehaving_small_fleet
 for fault in short chunked-cut no-length reset silent garbage; do
   expect "an answer with the fault \"$fault\" is not passed on as complete" \
     [ "$(outcome "/$fault")" = unknown ]
@@ -36,4 +21,4 @@
   [ "$(grep -ci '^set-cookie: ' "$work/head")" -eq 2 ]
 expect "a complete chunked answer is passed on" [ "$(outcome /chunked)" = answered ]
 expect "the body of the chunked answer is complete" [ "$(cat "$work/body")" = "hello world" ]
-expect "the endpoint that was replaced is still running" is_up "$old"
+expect "the endpoint that was replaced is still running" is_up "$replaced_endpoint"
