--- a/drivers/field_lines.h
+++ b/drivers/field_lines.h
@@ -6,7 +6,9 @@
 
 /** Checks the field lines of the head or the trailers of an HTTP answer as
  * their bytes arrive, up to the empty line that ends them. The HTTP libraries
- * accept other bytes in names, such as blanks. */
+ * accept blanks in names, some control bytes in values, and other bytes than a
+ * line feed after a carriage return. A line that continues a value (obs-fold in
+ * RFC 9112) is malformed. */
 class FieldLinesCheck {
  public:
   /** Checks the next byte. Returns false if the lines are malformed. */
