Settings: a percent sign in a name no longer hangs the program at its start

Cause: Boost puts the name of an unknown option into its error text and then replaces placeholders in it, so placeholders in the name grow without end.

Change: a file with a percent sign before a value is refused with an error that names the file. No setting has one in its name.

--- a/drivers/program_settings.cpp
+++ b/drivers/program_settings.cpp
@@ -7,6 +7,7 @@
 #include <cctype>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <utility>
@@ -87,6 +88,22 @@
     mValues[aName] = value;
   }
 
+  /** Whether a line of a file has a percent sign before its value. Boost takes
+   * such names for placeholders in its error texts and may replace them without
+   * end. */
+  static bool HasPercentInName(const std::string& aPath) {
+    std::ifstream file(aPath);
+    std::string line;
+    while (std::getline(file, line)) {
+      const std::string content = line.substr(0, line.find('#'));
+      const std::string name = content.substr(0, content.find('='));
+      if (name.find('%') != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Reads the settings file that a flag or the environment names. */
   void ReadFile(const options::variables_map& aFlags) {
     if (mFileSetting.empty()) {
@@ -101,6 +118,11 @@
     if (path.empty()) {
       return;
     }
+    if (HasPercentInName(path)) {
+      mErrors.push_back(
+          fmt::format("file \"{}\": a name contains a percent sign", path));
+      return;
+    }
     try {
       options::store(options::parse_config_file<char>(
                          path.c_str(), mDescription, kAllowUnregistered),
