--- a/review/standins-3/consumer.cpp
+++ b/review/standins-3/consumer.cpp
@@ -30,7 +30,8 @@
   const auto connection =
       review::Connect(aIp, aSettings.mPort, aSettings.mLimitMs);
   if (connection == nullptr) {
-    review::Print("answer request=" + aId + " status=none reason=no_connection");
+    review::Print("answer request=" + aId +
+                  " status=none reason=no_connection");
     return;
   }
   std::string request = aSettings.mMethod + " " + aSettings.mPath +
@@ -53,14 +54,14 @@
   const std::string body = connection->ReadBody(length);
   const std::string stamp = review::Field(*head, "Papayawheel-Response-Stamp");
   review::Print("answer request=" + aId + " status=" + review::Word(*head, 1) +
-                " stamp=" + (stamp.empty() ? "none" : stamp) +
-                " body=\"" + body.substr(0, body.find('\n')) + "\"" +
+                " stamp=" + (stamp.empty() ? "none" : stamp) + " body=\"" +
+                body.substr(0, body.find('\n')) + "\"" +
                 (body.size() < length ? " cut" : ""));
 }
 
 void Consume(const Settings& aSettings, int aNumber) {
-  const std::string& ip = aSettings.mIps[static_cast<std::size_t>(aNumber) %
-                                         aSettings.mIps.size()];
+  const std::string& ip =
+      aSettings.mIps[static_cast<std::size_t>(aNumber) % aSettings.mIps.size()];
   const auto end = std::chrono::steady_clock::now() +
                    std::chrono::seconds(aSettings.mSeconds);
   int serial = 0;
@@ -78,8 +79,9 @@
 
 int main(int aCount, char** aArguments) {
   if (aCount != 11) {
-    std::fprintf(stderr, "usage: consumer NAME METHOD PATH IPS PORT COUNT "
-                         "SECONDS PAUSE_MS LIMIT_MS BODY_BYTES\n");
+    std::fprintf(stderr,
+                 "usage: consumer NAME METHOD PATH IPS PORT COUNT "
+                 "SECONDS PAUSE_MS LIMIT_MS BODY_BYTES\n");
     return EXIT_FAILURE;
   }
   std::signal(SIGPIPE, SIG_IGN);
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -39,9 +39,18 @@
   int revision = 1;
   for (const auto& [key, value] : aItems) {
     const std::string number = std::to_string(++revision);
-    list += (list.empty() ? "" : ",") + std::string("{\"key\":\"") + key +
-            "\",\"value\":\"" + Base64(value) + "\",\"rev\":" + number +
-            ",\"create-revision\":" + number + ",\"lease\":0}";
+    if (!list.empty()) {
+      list += ',';
+    }
+    list += "{\"key\":\"";
+    list += key;
+    list += "\",\"value\":\"";
+    list += Base64(value);
+    list += "\",\"rev\":";
+    list += number;
+    list += ",\"create-revision\":";
+    list += number;
+    list += ",\"lease\":0}";
   }
   return list;
 }
@@ -84,17 +93,19 @@
     items[text.substr(0, equals)] = std::string(
         std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>());
   }
-  review::Serve(std::atoi(aArguments[1]), 0,
-                [items](review::Connection& aConnection) {
-                  while (const auto head = aConnection.ReadHead()) {
-                    std::string status = "200 OK";
-                    const std::string body =
-                        Answer(items, review::Word(*head, 1), status);
-                    aConnection.Send(
-                        "HTTP/1.1 " + status +
-                        "\r\nContent-Type: application/json\r\n"
-                        "Content-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body);
-                  }
-                });
+  review::Serve(
+      std::atoi(aArguments[1]), [items](review::Connection& aConnection) {
+        while (const auto head = aConnection.ReadHead()) {
+          std::string status = "200 OK";
+          const std::string body =
+              Answer(items, review::Word(*head, 1), status);
+          std::string answer = "HTTP/1.1 ";
+          answer += status;
+          answer += "\r\nContent-Type: application/json\r\nContent-Length: ";
+          answer += std::to_string(body.size());
+          answer += "\r\n\r\n";
+          answer += body;
+          aConnection.Send(answer);
+        }
+      });
 }
