Gateway: an endpoint's refusal that states nothing is no refusal

Callers saw: an order that its endpoint had run, and failed with its own 503 (or 429, 408) without Papayawheel-Not-Executed, was answered with that status, which promises "not run, and never will be".

Cause: answers were either statements that the request was not run, or the endpoint's own affair and passed on. Nothing looked at what the status tells the caller. An idempotent request got it too: a 503 kept for the case that no retry does better was given in the end, and 429 and 408 were not retried.

Evidence: the gateway's line for each is request_answered status=503 endpoints=f1, one attempt; so neither a refusal of its own after the send nor an answer misread as a statement.

An answer with one of them that states nothing is a failed attempt of a request that may have run: retried if idempotent, else 502 unconfirmed_refusal, and never kept. This works on every way out, as both engines' rule holds from then on: what may have run is never answered as not run. request_failed has endpoint_status, the status replaced.

Ruled out beside it: refusals of a pipelined request come in order (gateway_refusals_in_order, passed before too).

--- a/core/base/error_kind.cpp
+++ b/core/base/error_kind.cpp
@@ -61,6 +61,10 @@
     ErrorAnswer{ErrorKind::AnswerCut, "answer_cut", 502, Outcome::Unknown,
                 RetryAdvice::AskOutcome,
                 "The endpoint's answer is incomplete."},
+    ErrorAnswer{ErrorKind::UnconfirmedRefusal, "unconfirmed_refusal", 502,
+                Outcome::Unknown, RetryAdvice::AskOutcome,
+                "The endpoint refused the request without stating that it was "
+                "not run."},
     ErrorAnswer{ErrorKind::TimedOut, "timed_out", 504, Outcome::Unknown,
                 RetryAdvice::AskOutcome,
                 "The endpoint did not answer before the deadline."},
--- a/core/base/error_kind.h
+++ b/core/base/error_kind.h
@@ -51,6 +51,7 @@
   TooManyKeys,
   EndpointLost,
   AnswerCut,
+  UnconfirmedRefusal,
   TimedOut,
   StillRunning,
   KeyOwnerGone,
--- a/core/gateway/gateway_call.h
+++ b/core/gateway/gateway_call.h
@@ -59,6 +59,9 @@
   std::vector<std::string> mEndpoints;
   /** For logs: see CrashRecord::mFingerprint. */
   std::uint64_t mFingerprint = 0;
+  /** For logs: status of an endpoint's refusal that mError replaces, since the
+   * request may have run; 0 if there is none. */
+  int mReplacedStatus = 0;
 };
 
 /** Action: send a call to an endpoint. */
--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -7,6 +7,7 @@
 
 #include "core/base/rendezvous.h"
 #include "core/base/scaled.h"
+#include "core/outcome/not_run_status.h"
 
 namespace papayawheel {
 namespace {
@@ -27,7 +28,13 @@
  * latency, or up to twice as much, drawn at random. */
 constexpr double kRetryAfterFraction = 0.12;
 
-bool IsServerError(int aStatus) { return aStatus >= 500; }
+constexpr int kFirstServerError = 500;
+
+/** Whether an endpoint's answer to a request that it may have run is a failure,
+ * after which an idempotent request is retried. */
+bool IsFailure(int aStatus) {
+  return aStatus >= kFirstServerError || PromisesNotRun(aStatus);
+}
 
 }  // namespace
 
@@ -238,7 +245,7 @@
   Call& call = mCalls.at(attempt.mCall);
   std::erase(call.mRunning, aId);
   const bool failed =
-      aReply.mResponse != nullptr && IsServerError(aReply.mResponse->mStatus);
+      aReply.mResponse != nullptr && IsFailure(aReply.mResponse->mStatus);
   NoteHedgeOutcome(call, aId, attempt, aReply.mResult, failed, aNow);
   const Duration work = EstimatedServiceTime(call.mRoute);
   const std::string service = call.mService;
@@ -305,8 +312,15 @@
                                      const AttemptReply& aReply, TimePoint aNow,
                                      GatewayActions& aActions) {
   aCall.mMayHaveRun = true;
-  const bool failed = IsServerError(aReply.mResponse->mStatus);
-  const bool mayRetry = failed && aCall.mRoute.mKind == RouteKind::Idempotent;
+  const int status = aReply.mResponse->mStatus;
+  if (PromisesNotRun(status)) {
+    // The caller would take the status for proof that the request was not run.
+    aCall.mUnconfirmedStatus = status;
+    RetryOrFail(aId, aCall, ErrorKind::UnconfirmedRefusal, aNow, aActions);
+    return;
+  }
+  const bool mayRetry =
+      IsFailure(status) && aCall.mRoute.mKind == RouteKind::Idempotent;
   if (!mayRetry) {
     Succeed(aId, aReply.mResponse, aActions);
     return;
@@ -470,9 +484,9 @@
       call.mMayHaveRun && claimsNotRun ? ErrorKind::EndpointLost : aError;
   ++mCounts.mErrors[error];
   if (!call.mCallerDisconnected) {
-    aActions.emplace_back(GatewayAnswer{aId, nullptr, error, RetryAfter(call),
-                                        call.mRoute.mName, call.mTried,
-                                        call.mFingerprint});
+    aActions.emplace_back(
+        GatewayAnswer{aId, nullptr, error, RetryAfter(call), call.mRoute.mName,
+                      call.mTried, call.mFingerprint, call.mUnconfirmedStatus});
   }
   Finish(aId, aActions);
 }
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -213,6 +213,9 @@
     bool mIsAnswered = false;
     /** Error answer of an endpoint, returned if no later attempt succeeds. */
     std::shared_ptr<const Response> mFailureResponse;
+    /** Status of the last refusal whose endpoint did not state that the request
+     * was not run; 0 if there is none. It is never returned. */
+    int mUnconfirmedStatus = 0;
 
     /** Number of attempts that reached an endpoint or may have. */
     [[nodiscard]] std::size_t Reached() const {
--- a/standins/misbehaving_main.cpp
+++ b/standins/misbehaving_main.cpp
@@ -131,6 +131,45 @@
   return Script{fmt::format("HTTP/1.1 {} Odd{}", status, rest)};
 }
 
+/** Scripts of refusals: "refuse-STATUS-FORM" refuses with the status in one of
+ * the forms below. They echo the last segment of the target as request id. */
+std::optional<Script> RefusalScriptFor(const std::string& aTarget) {
+  const std::string prefix = "refuse-";
+  const std::string name = LastSegment(aTarget);
+  const std::size_t dash = name.rfind('-');
+  if (!name.starts_with(prefix) || dash < prefix.size()) {
+    return std::nullopt;
+  }
+  const std::string stated = fmt::format("{}: 1\r\n", platform::kNotRunHeader);
+  const std::string empty = "Content-Length: 0\r\n\r\n";
+  const std::string body = "Content-Length: 4\r\n\r\nfull";
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n";
+  const std::map<std::string, std::string> forms = {
+      {"bare", empty},
+      {"stamped",
+       fmt::format("{}: proof-bad\r\n", platform::kResponseStampHeader) + body},
+      {"backoff",
+       fmt::format("{}: 0.2\r\n", platform::kRetryAfterHeader) + empty},
+      {"chunked", chunks + "\r\n"},
+      {"trailer", chunks + stated + "\r\n"},
+      {"closing", "Connection: close\r\n" + body},
+      {"reset", body},
+      {"stated", stated + empty},
+  };
+  const std::string form = name.substr(dash + 1);
+  const auto found = forms.find(form);
+  if (found == forms.end()) {
+    return std::nullopt;
+  }
+  const std::string status = name.substr(prefix.size(), dash - prefix.size());
+  Script script{fmt::format("HTTP/1.1 {} Refused\r\n{}: {}\r\n{}", status,
+                            platform::kRequestIdHeader, name, found->second)};
+  script.mClose = form == "closing";
+  script.mReset = form == "reset";
+  return script;
+}
+
 Script ScriptFor(const std::string& aTarget) {
   const std::string head = "HTTP/1.1 200 OK\r\n";
   if (aTarget == "/short") {
@@ -160,6 +199,9 @@
   if (const auto script = StatusScriptFor(aTarget)) {
     return *script;
   }
+  if (const auto refusal = RefusalScriptFor(aTarget)) {
+    return *refusal;
+  }
   if (const auto line = LineScriptFor(aTarget)) {
     return *line;
   }
--- a/tests/core/test_gateway_engine.cpp
+++ b/tests/core/test_gateway_engine.cpp
@@ -1,6 +1,10 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
+#include <array>
+#include <functional>
+
 #include "tests/core/gateway_harness.h"
 #include "tests/core/schedule_step.h"
 
@@ -14,6 +18,7 @@
   SendOnce,
   Answer,
   Fail,
+  RefuseUnconfirmed,
   NotExecuted,
   NotConnected,
   Lost,
@@ -27,10 +32,27 @@
   Grow,
   Wait,
 };
-constexpr int kActs = 16;
+constexpr int kActs = 17;
 constexpr int kWaitWeight = 3;
 constexpr std::size_t kNumbers = 40;
 
+/** Statuses that tell a caller that its request was not run. */
+constexpr std::array kRefusals = {408, 421, 429, 503};
+
+/** The status that the caller gets. */
+int StatusOf(const GatewayAnswer& aAnswer) {
+  return aAnswer.mResponse != nullptr ? aAnswer.mResponse->mStatus
+                                      : AnswerOf(aAnswer.mError).mStatus;
+}
+
+/** Whether an answer tells the caller that the request was not run. */
+bool IsRefusal(const GatewayAnswer& aAnswer) {
+  const bool saysNotRun = aAnswer.mResponse == nullptr &&
+                          AnswerOf(aAnswer.mError).mOutcome == Outcome::NotRun;
+  return saysNotRun || std::find(kRefusals.begin(), kRefusals.end(),
+                                 StatusOf(aAnswer)) != kRefusals.end();
+}
+
 using Step = ScheduleStep<Act>;
 
 void Apply(GatewayHarness& aHarness, const Step& aStep) {
@@ -47,6 +69,10 @@
     case Act::Fail:
       aHarness.End(aStep.mFirst, AttemptResult::Answered, 500);
       break;
+    case Act::RefuseUnconfirmed:
+      aHarness.End(aStep.mFirst, AttemptResult::Answered,
+                   kRefusals.at(aStep.mSecond % kRefusals.size()));
+      break;
     case Act::NotExecuted:
       aHarness.End(aStep.mFirst, AttemptResult::NotExecuted);
       break;
@@ -95,10 +121,7 @@
     if (answer == aHarness.Answers().end()) {
       continue;
     }
-    const bool refused =
-        answer->second.mResponse == nullptr &&
-        AnswerOf(answer->second.mError).mOutcome == Outcome::NotRun;
-    RC_ASSERT(!refused || executions == 0U);
+    RC_ASSERT(!IsRefusal(answer->second) || executions == 0U);
   }
 }
 
@@ -170,6 +193,20 @@
       {false, AttemptResult::Garbled, 0, 1, 502},
       {false, AttemptResult::NotExecuted, 0, 2, 0},
       {false, AttemptResult::NotConnected, 0, 2, 0},
+      // An endpoint's own refusal that does not state that the request was not
+      // run must not reach the caller.
+      {false, AttemptResult::Answered, 503, 1, 502},
+      {false, AttemptResult::Answered, 429, 1, 502},
+      {false, AttemptResult::Answered, 408, 1, 502},
+      {false, AttemptResult::Answered, 421, 1, 502},
+      {true, AttemptResult::Answered, 503, 2, 0},
+      {true, AttemptResult::Answered, 429, 2, 0},
+      {true, AttemptResult::Answered, 408, 2, 0},
+      // These statuses promise nothing, so they are passed on.
+      {false, AttemptResult::Answered, 502, 1, 502},
+      {false, AttemptResult::Answered, 504, 1, 504},
+      {false, AttemptResult::Answered, 409, 1, 409},
+      {true, AttemptResult::Answered, 404, 1, 404},
   };
   for (const Case& one : cases) {
     CAPTURE(one.mIdempotent);
@@ -188,10 +225,100 @@
       continue;
     }
     REQUIRE(answer != harness.Answers().end());
-    const int status = answer->second.mResponse != nullptr
-                           ? answer->second.mResponse->mStatus
-                           : AnswerOf(answer->second.mError).mStatus;
-    CHECK(status == one.mAnswer);
+    CHECK(StatusOf(answer->second) == one.mAnswer);
+  }
+}
+
+/** One end of an attempt. */
+struct End {
+  AttemptResult mResult;
+  int mStatus;
+};
+
+// A refusal that an earlier attempt left must not be given to the caller when
+// the last attempt fails: the request has run.
+TEST_CASE("gateway: an unconfirmed refusal is not kept for the caller") {
+  struct Case {
+    const char* mName;
+    std::vector<End> mEnds;
+    int mAnswer;
+  };
+  const std::vector<Case> cases = {
+      {"refused twice",
+       {{AttemptResult::Answered, 503}, {AttemptResult::Answered, 429}},
+       502},
+      {"the retry is not executed",
+       {{AttemptResult::Answered, 503}, {AttemptResult::NotExecuted, 0}},
+       502},
+      {"the retry is not connected",
+       {{AttemptResult::Answered, 503}, {AttemptResult::NotConnected, 0}},
+       0},
+      {"the retry is lost",
+       {{AttemptResult::Answered, 503}, {AttemptResult::Lost, 0}},
+       502},
+      {"the retry fails",
+       {{AttemptResult::Answered, 503}, {AttemptResult::Answered, 500}},
+       500},
+      {"an earlier failure is kept",
+       {{AttemptResult::Answered, 500}, {AttemptResult::Answered, 503}},
+       500},
+      {"the retry succeeds",
+       {{AttemptResult::Answered, 503}, {AttemptResult::Answered, 200}},
+       200},
+      {"the first attempt is not executed",
+       {{AttemptResult::NotExecuted, 0}, {AttemptResult::Answered, 503}},
+       502},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mName);
+    GatewayHarness harness(3);
+    const CallId call = harness.SendRequest(true);
+    for (const End& end : one.mEnds) {
+      harness.AnswerProbes(true);
+      harness.End(0, end.mResult, end.mStatus);
+    }
+    harness.AnswerProbes(true);
+    const auto answer = harness.Answers().find(call);
+    const bool isAnswered = answer != harness.Answers().end();
+    CHECK(isAnswered == (one.mAnswer != 0));
+    if (isAnswered) {
+      CHECK(StatusOf(answer->second) == one.mAnswer);
+    }
+  }
+}
+
+// The retry after a refusal that proves nothing may find no endpoint, no budget
+// or no time; the refusal that the gateway then gives would be false.
+TEST_CASE("gateway: no refusal of its own after an unconfirmed one") {
+  struct Case {
+    const char* mName;
+    std::size_t mEndpoints;
+    double mRetrySlack;
+    bool mIdempotent;
+    std::function<void(GatewayHarness&)> mAfterwards;
+  };
+  const std::vector<Case> cases = {
+      {"no other endpoint", 1, 1000, true, [](GatewayHarness&) {}},
+      {"no retry budget", 3, 0, true, [](GatewayHarness&) {}},
+      {"the endpoints are removed", 3, 1000, true,
+       [](GatewayHarness& aHarness) { aHarness.Publish({}); }},
+      {"the data centre is evacuated", 3, 1000, true,
+       [](GatewayHarness& aHarness) { aHarness.SetEvacuated(true); }},
+      {"the host stops", 3, 1000, true,
+       [](GatewayHarness& aHarness) { aHarness.EndAllCalls(); }},
+      {"the deadline passes", 3, 1000, true, [](GatewayHarness&) {}},
+      {"at most once", 3, 1000, false, [](GatewayHarness&) {}},
+  };
+  for (const Case& one : cases) {
+    CAPTURE(one.mName);
+    GatewayHarness harness(one.mEndpoints, one.mRetrySlack);
+    const CallId call = harness.SendRequest(one.mIdempotent);
+    harness.AnswerProbes(true);
+    harness.End(0, AttemptResult::Answered, 503);
+    one.mAfterwards(harness);
+    harness.Advance(milliseconds(1300));
+    REQUIRE(harness.Answers().contains(call));
+    CHECK_FALSE(IsRefusal(harness.Answers().at(call)));
   }
 }
 
