Answers: fields of the trailers are not those of the head

What callers could see: an order that ran was sent to a second endpoint, or answered as not run, because the trailers of its endpoint's 503 held Papayawheel-Not-Executed. For callers of an entry the same with papayawheel-outcome: not_run.

Cause: the callbacks of http_parser and libcurl get the fields of the head and of the trailers alike, and both parsers kept them in one list.

Change: AnswerHeadCheck, which both use, knows that it is in the trailers; what comes there is checked and counted as before and then dropped. This works since nothing behind the parsers sees such a field any more.

--- a/drivers/answer_head.cpp
+++ b/drivers/answer_head.cpp
@@ -16,6 +16,9 @@
   return true;
 }
 
-void AnswerHeadCheck::StartTrailers() { mFieldLines = FieldLinesCheck(); }
+void AnswerHeadCheck::StartTrailers() {
+  mFieldLines = FieldLinesCheck();
+  mIsInTrailers = true;
+}
 
 }  // namespace papayawheel
--- a/drivers/answer_head.h
+++ b/drivers/answer_head.h
@@ -23,12 +23,16 @@
     return !mStatusLine.IsComplete();
   }
 
+  /** Whether the bytes that follow belong to the trailers. */
+  [[nodiscard]] bool IsInTrailers() const { return mIsInTrailers; }
+
   /** Prepares for the trailers of the answer, which end like a head. */
   void StartTrailers();
 
  private:
   StatusLineCheck mStatusLine;
   FieldLinesCheck mFieldLines;
+  bool mIsInTrailers = false;
 };
 
 }  // namespace papayawheel
--- a/drivers/answer_parser.cpp
+++ b/drivers/answer_parser.cpp
@@ -125,6 +125,9 @@
   if (!self.CountHeadBytes(aSize)) {
     return kAbort;
   }
+  if (self.mHeadCheck.IsInTrailers()) {
+    return kContinue;
+  }
   HeaderList& headers = self.mResponse->mHeaders;
   if (self.mInValue || headers.empty()) {
     headers.emplace_back();
@@ -140,6 +143,9 @@
   if (!self.CountHeadBytes(aSize)) {
     return kAbort;
   }
+  if (self.mHeadCheck.IsInTrailers()) {
+    return kContinue;
+  }
   self.mInValue = true;
   self.mResponse->mHeaders.back().second.append(aData, aSize);
   return kContinue;
--- a/drivers/answer_parser.h
+++ b/drivers/answer_parser.h
@@ -13,7 +13,9 @@
 
 namespace papayawheel {
 
-/** Incremental parser for the HTTP answers of one connection. */
+/** Incremental parser for the HTTP answers of one connection. Trailers are
+ * checked and then dropped: a field after the body must not change what the
+ * head says. */
 class AnswerParser {
  public:
   enum class Result {
--- a/drivers/http_transfer.cpp
+++ b/drivers/http_transfer.cpp
@@ -89,6 +89,10 @@
     result.mAllHeaders.clear();
     return bytes;
   }
+  if (transfer.mHeadCheck.IsInTrailers()) {
+    // A field after the body must not change what the head says.
+    return bytes;
+  }
   const std::size_t colon = line.find(':');
   if (colon != std::string::npos) {
     const std::string name = line.substr(0, colon);
--- a/tests/process/gateway_unconfirmed_refusals.sh
+++ b/tests/process/gateway_unconfirmed_refusals.sh
@@ -32,7 +32,7 @@
   replaced=$((replaced + 1))
 }
 for status in 503 429 408; do
-  for form in bare stamped backoff chunked closing; do
+  for form in bare stamped backoff chunked trailer closing; do
     expect_unknown POST /order/ "refuse-$status-$form"
     # The pause that the endpoint asked for must be over.
     [ "$form" != backoff ] || sleep 0.4
