Entry: an endpoint's refusal that states nothing is an unknown outcome

What callers could see: a call that an endpoint had run and failed with its own 503, 429, 408 or 421 was answered with that status and papayawheel-outcome "answered". Who reads only the status takes it for a refusal of the entry, which means "not run", and calls again under a new key.

Cause: the table of outcomes was kept for the entry's own errors; the statuses of endpoints, and of other hosts that passed them on, went by it.

Change: such an answer ends the call with unconfirmed_refusal (502, unknown), and so does the key's record.

--- a/core/entry/call_dispatch.cpp
+++ b/core/entry/call_dispatch.cpp
@@ -243,7 +243,7 @@
         mCrashReports.push_back(
             CrashReport{call.mFingerprint, call.mTarget, true});
       }
-      Succeed(aId, aReply.mResponse, actions);
+      AnswerWith(aId, aReply.mResponse, actions);
       break;
     case EndpointResult::Shed:
       // The request was not run and trying another endpoint is cheap, so
--- a/core/entry/call_engine.cpp
+++ b/core/entry/call_engine.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "core/base/rendezvous.h"
+#include "core/outcome/not_run_status.h"
 
 namespace papayawheel {
 namespace {
@@ -284,6 +285,17 @@
   return probes;
 }
 
+void CallEngine::AnswerWith(CallId aId,
+                            std::shared_ptr<const Response> aResponse,
+                            CallActions& aActions) {
+  if (PromisesNotRun(aResponse->mStatus)) {
+    // The caller would take the status for proof that the call was not run.
+    Fail(aId, ErrorKind::UnconfirmedRefusal, Duration::zero(), aActions);
+    return;
+  }
+  Succeed(aId, std::move(aResponse), aActions);
+}
+
 void CallEngine::Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
                          CallActions& aActions) {
   const auto found = mCalls.find(aId);
--- a/core/entry/call_engine.h
+++ b/core/entry/call_engine.h
@@ -219,6 +219,10 @@
                          TimePoint aNow);
   void RetryOrFail(CallId aId, Call& aCall, ErrorKind aError, TimePoint aNow,
                    CallActions& aActions);
+  /** Ends a call with an endpoint's response, or with an error if the status
+   * would tell the caller that the call was not run. */
+  void AnswerWith(CallId aId, std::shared_ptr<const Response> aResponse,
+                  CallActions& aActions);
   void Succeed(CallId aId, std::shared_ptr<const Response> aResponse,
                CallActions& aActions);
   void Fail(CallId aId, ErrorKind aError, Duration aRetryAfter,
--- a/core/entry/call_forwarding.cpp
+++ b/core/entry/call_forwarding.cpp
@@ -76,7 +76,7 @@
   using Result = HostReply::Result;
   const HopReason hop = call.mForwardReason;
   if (aReply.mResult == Result::Answered && aReply.mResponse != nullptr) {
-    Succeed(aId, aReply.mResponse, actions);
+    AnswerWith(aId, aReply.mResponse, actions);
     return actions;
   }
   if (aReply.mResult != Result::Answered && hop == HopReason::KeyOwner) {
--- a/servers/traffic_worker.cpp
+++ b/servers/traffic_worker.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/outcome/not_run_status.h"
+#include "drivers/log.h"
 #include "servers/call_messages.h"
 
 namespace papayawheel {
@@ -185,14 +187,34 @@
         return EndpointCall(aAction, aCall.mRequest, aCall.mHeaders,
                             aCall.mExchange->Body());
       },
-      [this, id](const HttpResult& aResult) {
+      [this, id, endpoint = aAction.mEndpoint](const HttpResult& aResult) {
         const EndpointReply reply = ReadEndpointReply(aResult);
+        LogReplacedRefusal(id, endpoint, reply);
         RunOnEngine([&](CallEngine& aEngine, TimePoint aNow) {
           return aEngine.EndpointReplied(id, reply, aNow);
         });
       });
 }
 
+void TrafficWorker::LogReplacedRefusal(CallId aId, const std::string& aEndpoint,
+                                       const EndpointReply& aReply) const {
+  const auto found = mCalls.find(aId);
+  if (found == mCalls.end() || aReply.mResponse == nullptr ||
+      !PromisesNotRun(aReply.mResponse->mStatus)) {
+    return;
+  }
+  const CallRequest& request = found->second.mRequest;
+  const ErrorAnswer& error = AnswerOf(ErrorKind::UnconfirmedRefusal);
+  Log(LogLevel::Info, "refusal_replaced",
+      {{"customer", request.mCustomer},
+       {"service", request.mService},
+       {"key", request.mKey},
+       {"endpoint", aEndpoint},
+       {"endpoint_status", aReply.mResponse->mStatus},
+       {"error", error.mName},
+       {"status", error.mStatus}});
+}
+
 void TrafficWorker::SendToHost(const SendToHostAction& aAction) {
   const CallId id = aAction.mCall;
   StartSending(
--- a/servers/traffic_worker.h
+++ b/servers/traffic_worker.h
@@ -83,6 +83,10 @@
   void Perform(const CallAction& aAction);
   void Answer(const AnswerAction& aAction);
   void SendToEndpoint(const SendToEndpointAction& aAction);
+  /** Logs that the status of an endpoint's answer does not reach the caller,
+   * if so. */
+  void LogReplacedRefusal(CallId aId, const std::string& aEndpoint,
+                          const EndpointReply& aReply) const;
   void SendToHost(const SendToHostAction& aAction);
   /** Sends a request for a call, unless the call has ended meanwhile.
    * @param aMessage builds the request. */
--- a/tests/core/engine_fleet.cpp
+++ b/tests/core/engine_fleet.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds kTick{10};
 constexpr milliseconds kReportPeriod{1000};
 constexpr milliseconds kServiceTime{5};
+/** A status that tells a caller that its request was not run. */
+constexpr int kRefusal = 503;
 
 }  // namespace
 
@@ -235,7 +237,7 @@
          return;
        }
        auto response = std::make_shared<Response>();
-       response->mStatus = 200;
+       response->mStatus = mIsRefusing && request % 2 == 1 ? kRefusal : 200;
        response->mBody = BodyOf(request);
        finish(kServiceTime + DrawDelay(),
               EndpointReply{EndpointResult::Answered, {}, response});
@@ -329,7 +331,9 @@
                                const AnswerAction& aAnswer) {
   RequestRecord& record = mRequests[aRequest];
   if (aAnswer.mResponse != nullptr) {
-    record.mReportedAnswered = true;
+    const bool isRefusal = aAnswer.mResponse->mStatus == kRefusal;
+    record.mReportedNotRun = record.mReportedNotRun || isRefusal;
+    record.mReportedAnswered = record.mReportedAnswered || !isRefusal;
     record.mWrongBody =
         record.mWrongBody || aAnswer.mResponse->mBody != BodyOf(aRequest);
     return;
--- a/tests/core/engine_fleet.h
+++ b/tests/core/engine_fleet.h
@@ -78,6 +78,10 @@
   /** Sets the probability, in percent, of a delivery fault or a delay. */
   void SetFaultPercent(int aPercent) { mFaultPercent = aPercent; }
 
+  /** Sets that endpoints run every other request and then refuse it, without a
+   * statement that it was not run. */
+  void SetRefusing(bool aIsRefusing) { mIsRefusing = aIsRefusing; }
+
   [[nodiscard]] std::size_t Hosts() const { return mNodes.size(); }
   [[nodiscard]] const std::vector<RequestRecord>& Requests() const {
     return mRequests;
@@ -123,6 +127,7 @@
   FakeClock mClock;
   std::mt19937 mRandom;
   int mFaultPercent = 0;
+  bool mIsRefusing = false;
   bool mCrashReportsDelivered = true;
   std::shared_ptr<const Configuration> mConfiguration;
   std::vector<Node> mNodes;
--- a/tests/core/test_call_engine.cpp
+++ b/tests/core/test_call_engine.cpp
@@ -59,6 +59,7 @@
         GenerateStep<Act>(kActs, 0, 16, milliseconds(2000)));
     EngineFleet fleet(3, 3, seed);
     fleet.SetFaultPercent(trouble);
+    fleet.SetRefusing(*rc::gen::arbitrary<bool>());
     for (const Step& step : steps) {
       Apply(fleet, step);
     }
@@ -237,8 +238,100 @@
   CHECK(std::get<AnswerAction>(late.at(0)).mError == ErrorKind::HostNotReady);
 }
 
+/** Returns what the caller of a call gets whose one attempt is answered. */
+AnswerAction AnswerFor(CallEngine& aEngine, CallId aId,
+                       const CallRequest& aRequest, int aStatus,
+                       const FakeClock& aClock) {
+  const CallActions sent = aEngine.Arrive(aId, aRequest, aClock.Now());
+  REQUIRE(sent.size() == 1);
+  REQUIRE(std::holds_alternative<SendToEndpointAction>(sent[0]));
+  auto response = std::make_shared<Response>();
+  response->mStatus = aStatus;
+  const CallActions answered = aEngine.EndpointReplied(
+      aId, EndpointReply{EndpointResult::Answered, {}, response}, aClock.Now());
+  REQUIRE(answered.size() == 1);
+  REQUIRE(std::holds_alternative<AnswerAction>(answered[0]));
+  return std::get<AnswerAction>(answered[0]);
+}
+
+// Guards against a caller that reads only the status and takes an endpoint's
+// own refusal, which does not state that the call was not run, for proof of it.
+TEST_CASE(
+    "calls: an unconfirmed refusal of an endpoint is an unknown outcome") {
+  struct Case {
+    int mStatus;
+    bool mIsPassedOn;
+  };
+  const std::vector<Case> cases = {
+      {408, false}, {421, false}, {429, false}, {503, false}, {200, true},
+      {404, true},  {409, true},  {500, true},  {502, true},  {504, true},
+  };
+  FakeClock clock;
+  CallEngine engine(HostIdentity{"h0", "dc0", 7}, clock.Now());
+  engine.Apply(
+      MakeSharedConfiguration(SampleConfiguration(1, 1, SampleContract())),
+      clock.Now());
+  engine.SetReady(true);
+  // Hosts use their shares only after all calls of a possible predecessor must
+  // have ended.
+  for (int second = 0; second < 10; ++second) {
+    clock.Advance(seconds(1));
+    engine.NoteControlIteration(clock.Now());
+    engine.Tick(clock.Now());
+  }
+  CallId id = 0;
+  for (const Case& one : cases) {
+    for (const std::string method : {"GET", "POST"}) {
+      CAPTURE(one.mStatus);
+      CAPTURE(method);
+      ++id;
+      CallRequest request{"roofers", "orders", method, "/", 0, "", {}, {}};
+      request.mKey =
+          engine.Outcomes().KeyPrefix(clock.Now()) + std::to_string(id);
+      const AnswerAction answer =
+          AnswerFor(engine, id, request, one.mStatus, clock);
+      CHECK((answer.mResponse != nullptr) == one.mIsPassedOn);
+      const KeyRecord record =
+          engine.FindOutcome(request.mKey, clock.Now()).mRecord;
+      CHECK((record.mResponse != nullptr) == one.mIsPassedOn);
+      if (!one.mIsPassedOn) {
+        CHECK(AnswerOf(answer.mError).mStatus == 502);
+        CHECK(AnswerOf(answer.mError).mOutcome == Outcome::Unknown);
+        CHECK(record.mError == answer.mError);
+      }
+    }
+  }
+}
+
+// Guards against the same answer when a host of an earlier version, which
+// passes it on, has served the call.
+TEST_CASE("calls: an unconfirmed refusal that another host passes on") {
+  FakeClock clock;
+  CallEngine engine(HostIdentity{"h0", "dc0", 7}, clock.Now());
+  engine.Apply(
+      MakeSharedConfiguration(SampleConfiguration(2, 1, SampleContract())),
+      clock.Now());
+  engine.SetReady(true);
+  engine.NoteControlIteration(clock.Now());
+  CallRequest request{"roofers", "orders", "POST", "/", 0, "", {}, {}};
+  request.mKey = "h1.7.0.x";
+  const CallActions sent = engine.Arrive(1, request, clock.Now());
+  REQUIRE(std::holds_alternative<SendToHostAction>(sent.at(0)));
+  HostReply reply;
+  reply.mResult = HostReply::Result::Answered;
+  reply.mOutcome = Outcome::Answered;
+  auto response = std::make_shared<Response>();
+  response->mStatus = 503;
+  reply.mResponse = response;
+  const CallActions actions = engine.HostReplied(1, reply, clock.Now());
+  const AnswerAction answer = std::get<AnswerAction>(actions.at(0));
+  REQUIRE(answer.mResponse == nullptr);
+  CHECK(AnswerOf(answer.mError).mStatus == 502);
+  CHECK(AnswerOf(answer.mError).mOutcome == Outcome::Unknown);
+}
+
 TEST_CASE("every error kind has its own row and a name that reads back") {
-  for (int kind = 0; kind <= static_cast<int>(ErrorKind::AnswerNotKept);
+  for (int kind = 0; kind <= static_cast<int>(ErrorKind::RequestIdMissing);
        ++kind) {
     const auto error = static_cast<ErrorKind>(kind);
     CHECK(AnswerOf(error).mKind == error);
