Gateway engine: what an attempt means for its call is a function of its own

AttemptEnded() had a case for each result, four of them alike but for the error. ContinueCall() tells them apart, ErrorAfter() names the error.

--- a/core/gateway/gateway_engine.cpp
+++ b/core/gateway/gateway_engine.cpp
@@ -36,6 +36,25 @@
   return aStatus >= kFirstServerError || PromisesNotRun(aStatus);
 }
 
+/** The error of a call whose last attempt ended without an answer. */
+ErrorKind ErrorAfter(AttemptResult aResult) {
+  switch (aResult) {
+    case AttemptResult::NotExecuted:
+      return ErrorKind::Overloaded;
+    case AttemptResult::NotConnected:
+      return ErrorKind::NeverSent;
+    case AttemptResult::Garbled:
+      return ErrorKind::AnswerCut;
+    case AttemptResult::TimedOut:
+    case AttemptResult::Cancelled:
+      return ErrorKind::TimedOut;
+    case AttemptResult::Answered:
+    case AttemptResult::Lost:
+      break;
+  }
+  return ErrorKind::EndpointLost;
+}
+
 }  // namespace
 
 GatewayEngine::GatewayEngine(std::string aDataCentre, std::uint32_t aSeed)
@@ -255,57 +274,63 @@
   ServiceOf(service).mPool.NoteNotice(attempt.mEndpoint, aReply.mNotice, aNow);
   mCrashDetector.NoteLiveness(attempt.mEndpoint, aReply.mLiveness,
                               attempt.mSentAt, aNow);
+  if (aReply.mResult == AttemptResult::Answered && !failed) {
+    mCrashDetector.NoteAnswered(call.mFingerprint, attempt.mSentAt, aNow);
+    NoteServiceTime(call.mRoute, attempt, work, aNow);
+  }
+  ContinueCall(call, attempt, aReply, aNow, actions);
+  // Last, as it may end the call.
+  if (aReply.mResult != AttemptResult::Cancelled) {
+    const bool answered = aReply.mResult == AttemptResult::Answered ||
+                          aReply.mResult == AttemptResult::NotExecuted ||
+                          aReply.mResult == AttemptResult::Garbled;
+    NoteReach(service, attempt.mEndpoint, answered, aNow, actions);
+  }
+  SendQueuedCalls(service, aNow, actions);
+  SendHealthChecks(aNow, actions);
+  return actions;
+}
+
+void GatewayEngine::NoteServiceTime(const Route& aRoute,
+                                    const Attempt& aAttempt, Duration aInitial,
+                                    TimePoint aNow) {
+  const auto took =
+      std::chrono::duration_cast<Duration>(aNow - aAttempt.mSentAt);
+  mMedianTimes.try_emplace(aRoute.mName, aInitial)
+      .first->second.Note(Scaled(took, 1 / std::max(1.0, aAttempt.mSlowdown)));
+}
+
+void GatewayEngine::ContinueCall(Call& aCall, const Attempt& aAttempt,
+                                 const AttemptReply& aReply, TimePoint aNow,
+                                 GatewayActions& aActions) {
   switch (aReply.mResult) {
     case AttemptResult::Answered:
-      if (!failed) {
-        mCrashDetector.NoteAnswered(call.mFingerprint, attempt.mSentAt, aNow);
-        mMedianTimes.try_emplace(call.mRoute.mName, work)
-            .first->second.Note(Scaled(
-                std::chrono::duration_cast<Duration>(aNow - attempt.mSentAt),
-                1 / std::max(1.0, attempt.mSlowdown)));
-      }
-      EndpointAnswered(attempt.mCall, call, aReply, aNow, actions);
-      break;
+      EndpointAnswered(aAttempt.mCall, aCall, aReply, aNow, aActions);
+      return;
     case AttemptResult::NotExecuted:
-      if (!call.mMayHaveRun && call.mRunning.empty() &&
-          ServiceOf(service).mPool.CountUsable(call.mAvoided, aNow) == 0) {
-        // There is no other endpoint, and the request was not run, so it may be
-        // sent there again.
-        call.mAvoided.clear();
-      }
-      RetryOrFail(attempt.mCall, call, ErrorKind::Overloaded, aNow, actions);
+      AllowOnlyEndpoint(aCall, aNow);
       break;
     case AttemptResult::NotConnected:
-      ++call.mUnreached;
-      RetryOrFail(attempt.mCall, call, ErrorKind::NeverSent, aNow, actions);
+      ++aCall.mUnreached;
       break;
     case AttemptResult::Lost:
-      AddSuspicion(call, attempt, aNow);
-      call.mMayHaveRun = true;
-      RetryOrFail(attempt.mCall, call, ErrorKind::EndpointLost, aNow, actions);
-      break;
     case AttemptResult::Garbled:
-      AddSuspicion(call, attempt, aNow);
-      call.mMayHaveRun = true;
-      RetryOrFail(attempt.mCall, call, ErrorKind::AnswerCut, aNow, actions);
-      break;
     case AttemptResult::TimedOut:
     case AttemptResult::Cancelled:
-      AddSuspicion(call, attempt, aNow);
-      call.mMayHaveRun = true;
-      RetryOrFail(attempt.mCall, call, ErrorKind::TimedOut, aNow, actions);
+      AddSuspicion(aCall, aAttempt, aNow);
+      aCall.mMayHaveRun = true;
       break;
   }
-  // Last, as it may end the call.
-  if (aReply.mResult != AttemptResult::Cancelled) {
-    const bool answered = aReply.mResult == AttemptResult::Answered ||
-                          aReply.mResult == AttemptResult::NotExecuted ||
-                          aReply.mResult == AttemptResult::Garbled;
-    NoteReach(service, attempt.mEndpoint, answered, aNow, actions);
+  RetryOrFail(aAttempt.mCall, aCall, ErrorAfter(aReply.mResult), aNow,
+              aActions);
+}
+
+void GatewayEngine::AllowOnlyEndpoint(Call& aCall, TimePoint aNow) {
+  const bool wasNotRun = !aCall.mMayHaveRun && aCall.mRunning.empty();
+  if (wasNotRun &&
+      ServiceOf(aCall.mService).mPool.CountUsable(aCall.mAvoided, aNow) == 0) {
+    aCall.mAvoided.clear();
   }
-  SendQueuedCalls(service, aNow, actions);
-  SendHealthChecks(aNow, actions);
-  return actions;
 }
 
 void GatewayEngine::EndpointAnswered(CallId aId, Call& aCall,
--- a/core/gateway/gateway_engine.h
+++ b/core/gateway/gateway_engine.h
@@ -407,6 +407,18 @@
   void SuspectOverdueAttempts(Call& aCall, TimePoint aNow);
   /** Sends the health checks of suspect endpoints that are due. */
   void SendHealthChecks(TimePoint aNow, GatewayActions& aActions);
+  /** Updates the median service time of a route after an answer.
+   * @param aInitial the median before the first answer. */
+  void NoteServiceTime(const Route& aRoute, const Attempt& aAttempt,
+                       Duration aInitial, TimePoint aNow);
+  /** An attempt of a call has ended: answers the caller, retries, or waits for
+   * another attempt. May end the call. */
+  void ContinueCall(Call& aCall, const Attempt& aAttempt,
+                    const AttemptReply& aReply, TimePoint aNow,
+                    GatewayActions& aActions);
+  /** Lets a call that was not run be sent to the same endpoints again if there
+   * is no other one. */
+  void AllowOnlyEndpoint(Call& aCall, TimePoint aNow);
   void EndpointAnswered(CallId aId, Call& aCall, const AttemptReply& aReply,
                         TimePoint aNow, GatewayActions& aActions);
   void RetryOrFail(CallId aId, Call& aCall, ErrorKind aError, TimePoint aNow,
