--- a/tests/core/gateway_harness.cpp
+++ b/tests/core/gateway_harness.cpp
@@ -26,6 +26,18 @@
 
 }  // namespace
 
+int StatusOf(const GatewayAnswer& aAnswer) {
+  return aAnswer.mResponse != nullptr ? aAnswer.mResponse->mStatus
+                                      : AnswerOf(aAnswer.mError).mStatus;
+}
+
+bool IsRefusal(const GatewayAnswer& aAnswer) {
+  const bool saysNotRun = aAnswer.mResponse == nullptr &&
+                          AnswerOf(aAnswer.mError).mOutcome == Outcome::NotRun;
+  return saysNotRun || std::find(kRefusals.begin(), kRefusals.end(),
+                                 StatusOf(aAnswer)) != kRefusals.end();
+}
+
 GatewayHarness::GatewayHarness(std::size_t aEndpoints, double aRetrySlack)
     : mEngine(kDataCentre, 1) {
   std::vector<std::size_t> numbers(aEndpoints);
--- a/tests/core/gateway_harness.h
+++ b/tests/core/gateway_harness.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -13,6 +14,15 @@
 
 namespace papayawheel {
 
+/** Statuses that tell a caller that its request was not run. */
+inline constexpr std::array kRefusals = {408, 421, 429, 503};
+
+/** The status that the caller gets. */
+int StatusOf(const GatewayAnswer& aAnswer);
+
+/** Whether an answer tells the caller that the request was not run. */
+bool IsRefusal(const GatewayAnswer& aAnswer);
+
 /** Drives one engine on a fake clock and records what it did with each request,
  * so that tests can check its guarantees. */
 class GatewayHarness {
